--- /dev/null
+++ b/brookreach/benchlink/__main__.py
@@ -0,0 +1,7 @@
+"""`python -m brookreach.benchlink`: the decisions on the bench's wire, standard input to standard output."""
+
+import sys
+
+from .host import serve
+
+sys.exit(serve(sys.stdin.buffer, sys.stdout.buffer))
--- /dev/null
+++ b/brookreach/benchlink/words.py
@@ -0,0 +1,147 @@
+"""The bench's words and numbers on one side, the interface's types on the other."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from typing import Any
+
+from brookreach import interface as ifc
+
+from .frames import WireError
+
+ENDINGS = {0: ifc.Ending.OK, 5: ifc.Ending.ERROR, 11: ifc.Ending.FULL, 110: ifc.Ending.TIMEOUT,
+           111: ifc.Ending.NO_CONNECT, 104: ifc.Ending.RESET, 125: ifc.Ending.CANCELLED, 114: ifc.Ending.MOOT}
+LISTS = {0: ifc.ListKind.FULL, 2: ifc.ListKind.DELTA, 3: ifc.ListKind.FAILED, 4: ifc.ListKind.CACHED}
+REPEATS = {"read_like": ifc.Repeat.IDEMPOTENT, "idempotency_key": ifc.Repeat.TOKENED,
+           "non_idempotent": ifc.Repeat.NON_IDEMPOTENT}
+GROUPS = {"all": ifc.Group.ALL, "zone": ifc.Group.ZONE, "cell": ifc.Group.CELL}
+GATES = {"any": ifc.Gate.ANY, "share": ifc.Gate.SHARE, "timer": ifc.Gate.CLOCK}
+LOADS = {"busy_reqs": ifc.Load.INFLIGHT, "pending": ifc.Load.QUEUED, "cpu_share": ifc.Load.CPU_SHARE,
+         "svc_ms": ifc.Load.SERVICE_MS, "served_ps": ifc.Load.RATE, "failed_ps": ifc.Load.ERROR_RATE}
+LONGEST_TIMER_US = 71 * 60 * 1_000_000
+
+Record = tuple[str, tuple[Any, ...]]
+
+
+def to_ms(us: int) -> float:
+    return us / 1000.0
+
+
+def to_us(ms: float) -> int:
+    return round(ms * 1000.0)
+
+
+def start_from(seed: int, text: bytes) -> ifc.Start:
+    try:
+        told = json.loads(text)
+    except ValueError as error:
+        raise WireError(f"settings are not JSON: {error}") from None
+    try:
+        return _start(seed, told)
+    except KeyError as error:
+        raise WireError(f"settings lack or misname {error}") from None
+    except (TypeError, AttributeError, ValueError) as error:
+        raise WireError(f"settings are malformed: {error}") from None
+
+
+def _start(seed: int, told: dict[str, Any]) -> ifc.Start:
+    allowed, family, guarantees, fees = told["allowed"], told["familyInfo"], told["guarantees"], told["fees"]
+    methods = tuple(
+        ifc.Method(m["name"], REPEATS[m["idempotency"]], GROUPS[m["dedupScope"]], to_ms(m["windowUs"]),
+                   to_ms(m["aimUs"]), to_ms(m["hardLimitUs"]), m["worth"], m["lateWorth"],
+                   m.get("aimStretch", 0.0), m["stream"])
+        for m in told["classes"])
+    tenants = tuple(ifc.Tenant(t["name"], t["share"], t["allowancePerS"]) for t in told["tenants"])
+    return ifc.Start(
+        seed=seed,
+        place=ifc.Place(told["myZone"], told["ordinal"], told["balancers"]),
+        methods=methods,
+        tenants=tenants,
+        over_share_utility=told["overShareWorth"],
+        permits=ifc.Permits(allowed["cancel"], allowed["probes"], allowed["secondCopies"], allowed["peers"],
+                            allowed["retryAfter"], to_ms(allowed["maxRetryAfterUs"]), allowed["sendCap"],
+                            allowed["mostHeld"], told["registryMode"] == "ask"),
+        guards=ifc.Guards(to_ms(guarantees["answerSlackUs"]), to_ms(guarantees["askWithinUs"]),
+                          guarantees["coldShare"], to_ms(guarantees["warmWithinUs"]),
+                          to_ms(guarantees["drainGraceUs"]), guarantees["fallMultiple"],
+                          to_ms(guarantees["tipAfterUs"])),
+        exposure=ifc.Exposure(to_ms(family["countedOverUs"]), family["uncounted"],
+                              tuple(family["exposureCaps"]), family["capScope"] == "class",
+                              family["guardedStages"], family["forwardOnly"]),
+        voting=ifc.Voting(GATES[family["gateMode"]], family["toAdvance"], family["toAbort"],
+                          family["holdVotes"], to_ms(family["ballotTtlUs"]), to_ms(family["answerWaitUs"]),
+                          family["voteAllowance"], to_ms(family["minDwellUs"]), to_ms(family["movesAfterUs"])),
+        rollout=ifc.Rollout(tuple(family["stageShare"]), family["replaceMode"] == "in_place",
+                            to_ms(family["newsPeriodUs"]), to_ms(family["metricsPeriodUs"]),
+                            family["sample"], family["complaintShare"], family.get("warmKeys", False)),
+        prices=ifc.Prices(fees["crossZone"], fees["waste"], fees["probe"], fees["lateFail"],
+                          family["delayPrice"], family["blastPrice"]),
+        reports=() if told["report"]["via"] == "off" else tuple(LOADS[f] for f in told["report"]["fields"]),
+        tick_ms=to_ms(told["tickUs"]),
+    )
+
+
+def entry_from(row: tuple[Any, ...]) -> ifc.NodeEntry:
+    cell, state, started_us, build, zone, kind, node, size = row
+    return ifc.NodeEntry(node, ifc.NodeState(state), to_ms(started_us), int(build), zone, cell, kind, size)
+
+
+def _loads(reports: tuple[ifc.Load, ...], figures: tuple[float, ...]) -> dict[ifc.Load, float]:
+    return dict(zip(reports, figures, strict=False))
+
+
+def event_from(name: str, f: tuple[Any, ...], reports: tuple[ifc.Load, ...],
+               pools: dict[int, tuple[ifc.NodeEntry, ...]]) -> ifc.Event:
+    """One event's fields, the instance's number left out, as the interface words it."""
+    match name:
+        case "Returned":
+            return ifc.PickEnded(f[0], f[3], f[5], ENDINGS[f[1]], f[2] != 0, to_ms(f[4]), _loads(reports, f[6]))
+        case "NewRequest":
+            rpc, method, tenant, key, deadline, estimate, bits = f
+            return ifc.RpcTaken(rpc, method, tenant, key, to_ms(deadline),
+                                to_ms(estimate) if bits & 1 else None, bool(bits & 2), bool(bits & 4))
+        case "Ring":
+            return ifc.TimerRang(f[0])
+        case "Dropped":
+            return ifc.RpcGone(f[0])
+        case "Registry":
+            kind = LISTS[f[0]]
+            return ifc.NodeList(kind, f[1], () if kind == ifc.ListKind.FAILED else pools[f[2]])
+        case "RolloutState":
+            mark, stage, cap, result, phase, age, build = f
+            return ifc.RolloutNews(mark != 0, ENDINGS[result], stage, cap, ifc.Phase(phase), to_ms(age), build)
+        case "PeriodSums":
+            build, age, failed, count, mean, method = f
+            return ifc.Tally(build, method, to_ms(age), failed, count, to_ms(mean))
+        case "Disputed":
+            return ifc.Disputed(f[0], f[1], to_ms(f[2]))
+        case "Probed":
+            return ifc.ProbeEnded(f[1], ENDINGS[f[2]], to_ms(f[0]), _loads(reports, f[3]))
+        case "AckFirst":
+            return ifc.StreamBegun(f[0], f[1], f[2], to_ms(f[3]))
+        case _:  # "Mail": the table of events holds no other name
+            return ifc.PeerMessage(f[0], f[1])
+
+
+_ACTIONS: dict[type, Callable[[Any], Record]] = {
+    # A wait of 0 would mean "until the client gives up" on the wire.
+    ifc.Pick: lambda a: ("Assign", (a.rpc, a.node, max(1, min(to_us(a.wait_ms), 2**31 - 1)))),
+    ifc.PushBack: lambda a: ("Shed", (a.rpc, to_us(a.come_back_ms))),
+    ifc.Abort: lambda a: ("ReportFailure", (a.rpc,)),
+    ifc.CancelPick: lambda a: ("StopAttempt", (a.rpc, a.nth)),
+    ifc.SetTimer: lambda a: ("Schedule", (max(0, min(to_us(a.delay_ms), LONGEST_TIMER_US)), a.token)),
+    ifc.Probe: lambda a: ("Touch", (a.node,)),
+    ifc.CloseIdle: lambda a: ("LetGo", (a.node,)),
+    ifc.Vote: lambda a: ("SaySo", (a.stage, int(a.verdict), a.build)),
+    ifc.FetchList: lambda a: ("QueryAll", ()),
+    ifc.FollowList: lambda a: ("Tail", (int(a.on),)),
+    ifc.TellPeer: lambda a: ("BroadcastTo", (0xFFFF if a.peer is None else a.peer, a.octets)),
+    ifc.Fault: lambda a: ("Crash", (a.text.encode()[:60000],)),
+    ifc.LogLine: lambda a: ("SayLog", (a.text.encode()[:60000],)),
+}
+
+
+def record_from(instance: int, action: ifc.Action) -> Record:
+    name, fields = _ACTIONS[type(action)](action)
+    return name, (instance, *fields)
