Keep a cold node's budget to what warm nodes were seen to carry; probation for failing nodes

The carried rate now comes from nodes warm for all of the time measured; the before-rate leaves room for the after-rate.

--- a/brookreach/decide.py
+++ b/brookreach/decide.py
@@ -1,11 +1,11 @@
 """All decisions of a marshal, and nothing else.
 
 One `Marshal` is one life of one instance. Call `begin(now)` once, then `handle(now, event)` for each event in
-the order of arrival; both return the actions to carry out, in order. `now` is in ms and is the only clock. The
-events, the actions and the start-up facts are defined in `brookreach/interface.py`.
+order of arrival; both return the actions to carry out, in order. `now` is in ms and is the only clock.
+Events, actions and start-up facts are defined in `brookreach/interface.py`.
 
 Inside, each node is an actor (`Node`), and so are the desk that places RPCs (`Desk`) and the judge of builds
-(`Judge`). They talk only by notes put into inboxes, which the one loop in `Marshal` empties in order of arrival.
+(`Judge`). They talk only by notes put into inboxes, which the one loop in `Marshal` empties in their order.
 """
 
 from __future__ import annotations
@@ -13,15 +13,44 @@
 import math
 import random
 from collections import deque
+from dataclasses import replace
+from typing import Any
 
 from brookreach.interface import (
-    Abort, Disputed, Ending, Gate, Group, ListKind, Load, LogLine, NodeList, NodeState, Phase, Pick, PickEnded,
-    ProbeEnded, PushBack, Repeat, RolloutNews, RpcGone, RpcTaken, SetTimer, StreamBegun, Tally, TimerRang, Verdict,
+    Abort,
+    Action,
+    Ending,
+    Event,
+    Exposure,
+    Gate,
+    Group,
+    Guards,
+    ListKind,
+    LogLine,
+    Method,
+    NodeEntry,
+    NodeList,
+    NodeState,
+    Phase,
+    Pick,
+    PickEnded,
+    PushBack,
+    Repeat,
+    RolloutNews,
+    RpcGone,
+    RpcTaken,
+    SetTimer,
+    Start,
+    TimerRang,
+    Verdict,
     Vote,
 )
 
+Bid = tuple[NodeEntry, bool, float, float]  # node, sick, what it can do, expected wait
+BACKWARDS = (Phase.GOING_BACK, Phase.WITHDRAWN)
 NEVER_RAN = (Ending.FULL, Ending.NO_CONNECT, Ending.MOOT)
 BROKEN = (Ending.ERROR, Ending.TIMEOUT, Ending.RESET)
+CARRIED_MS = 4000.0  # over this time a warm node shows what it carries
 RPC_END, RPC_COPY, BEAT = 0, 1, 2  # what a timer is for; its token is 4 x RPC + one of these
 BEAT_MS = 250.0
 
@@ -29,30 +58,34 @@
 class Ring:
     """A sum over a sliding time, in fixed buckets that are used again."""
 
-    def __init__(self, span_ms, buckets=40):
+    def __init__(self, span_ms: float, buckets: int = 40):
         self.width, self.buckets = span_ms / buckets, buckets
         self.sums, self.marks = [0.0] * (buckets + 1), [-1] * (buckets + 1)
 
-    def add(self, now, amount=1.0):
+    def add(self, now: float, amount: float = 1.0) -> None:
         mark = int(now // self.width)
         at = mark % (self.buckets + 1)
         if self.marks[at] != mark:
             self.marks[at], self.sums[at] = mark, 0.0
         self.sums[at] += amount
 
-    def total(self, now, inner=False):
+    def total(self, now: float, inner: bool = False) -> float:
         """The sum of the span and the rest of its oldest bucket; `inner` leaves that bucket out."""
         oldest = int(now // self.width) - self.buckets + inner
         return sum(s for s, m in zip(self.sums, self.marks, strict=True) if m >= oldest)
 
 
+Due = deque[Any]  # the loop's order of work: a part, once for each note in its inbox
+
+
 class Part:
     """An actor; `due` is the loop's order of work."""
 
-    def __init__(self, due):
-        self.inbox, self.due = deque(), due
+    def __init__(self, due: Due):
+        self.inbox: deque[tuple[str, tuple[Any, ...]]] = deque()
+        self.due = due
 
-    def tell(self, note, *args):
+    def tell(self, note: str, *args: Any) -> None:
         self.inbox.append((note, args))
         self.due.append(self)
 
@@ -60,25 +93,26 @@
 class Rpc:
     """What the desk holds of one RPC; `picks` are [node entry, sent at, ending or None]."""
 
-    __slots__ = ("id", "method", "facts", "taken", "soft", "end", "cost", "key", "tenant", "picks", "done", "bids",
-                 "asked", "copied")
+    __slots__ = ("id", "method", "facts", "soft", "end", "cost", "key", "picks", "done", "bids", "asked")
 
-    def __init__(self, now, event, facts):
-        self.id, self.method, self.facts, self.taken = event.rpc, event.method, facts, now
-        self.cost, self.key, self.tenant = event.cost_ms, event.key, event.tenant
+    def __init__(self, now: float, event: RpcTaken, facts: Method):
+        self.id, self.method, self.facts = event.rpc, event.method, facts
+        self.cost, self.key = event.cost_ms, event.key
         stretch = facts.soft_stretch * (event.cost_ms or 0.0)
         self.end = event.deadline_ms
         self.soft = min(now + min(facts.soft_ms + stretch, facts.hard_ms), self.end)
-        self.picks, self.done, self.bids, self.asked, self.copied = [], False, [], 0, False
+        self.picks: list[list[Any]] = []
+        self.bids: list[Bid] = []
+        self.asked, self.done = 0, False
 
-    def pending(self):
+    def pending(self) -> bool:
         return any(pick[2] is None for pick in self.picks)
 
-    def may_have_run(self):
+    def may_have_run(self) -> list[list[Any]]:
         return [pick for pick in self.picks if pick[2] not in NEVER_RAN]
 
 
-def may_go(rpc, entry, now, copies):
+def may_go(rpc: Rpc, entry: NodeEntry, now: float, copies: bool) -> bool:
     """Whether the method's kind lets this RPC have a pick at this node now; the only place that says so."""
     ran = rpc.may_have_run()
     if not ran:
@@ -92,7 +126,7 @@
         entry.zone == old.zone and (group == Group.ZONE or entry.cell == old.cell))) for old, sent, _ in ran)
 
 
-def may_push_back(rpc):
+def may_push_back(rpc: Rpc) -> bool:
     return rpc.facts.repeat == Repeat.IDEMPOTENT or not rpc.may_have_run() or (
         rpc.facts.repeat == Repeat.TOKENED and rpc.facts.group == Group.ALL)
 
@@ -100,30 +134,31 @@
 class Node(Part):
     """One node as this marshal sees it: its picks, its speed, its health, how cold it may be."""
 
-    def __init__(self, due, desk, entry, guards):
+    def __init__(self, due: Due, desk: Desk, entry: NodeEntry, guards: Guards):
         super().__init__(due)
         self.desk, self.guards = desk, guards
         self.renew(entry)
 
-    def renew(self, entry):
-        self.entry, self.out = entry, {}
+    def renew(self, entry: NodeEntry) -> None:
+        self.entry = entry
+        self.out: dict[tuple[int, int], tuple[float, float]] = {}  # pick: sent at, cost
         self.slow, self.usual_out, self.bad, self.shy_until, self.shy_ms = 1.0, 0.0, 0.0, 0.0, 0.0
         self.limit, self.cut_at, self.heard_at = 16.0, 0.0, 0.0
-        self.sent = Ring(self.guards.fall_ms, 20)
+        self.sent, self.carried = Ring(self.guards.fall_ms, 20), Ring(CARRIED_MS, 16)
 
-    def listed(self, entry):
+    def listed(self, entry: NodeEntry) -> None:
         if (entry.started_ms, entry.build) != (self.entry.started_ms, self.entry.build):
             out = self.out
             self.renew(entry)
             self.out = out
         self.entry = entry
 
-    def warmth(self, now):
+    def warmth(self, now: float) -> float:
         """The share of its capacity that it has at least: it rises evenly at the slowest."""
         age = now - self.entry.started_ms if self.entry.started_ms else math.inf
         return min(1.0, self.guards.cold_share + (1.0 - self.guards.cold_share) * age / self.guards.warm_ms)
 
-    def call(self, now, rpc, cost, typical, rate):
+    def call(self, now: float, rpc: Rpc, cost: float, typical: float, rate: float) -> None:
         """Answer the desk's call for bids: none when it must not or cannot take this RPC."""
         entry, warm = self.entry, self.warmth(now)
         fit = entry.state == NodeState.READY and len(self.out) < self.limit
@@ -140,22 +175,28 @@
         wait = typical * self.slow * (1 + len(self.out)) / (1 + self.usual_out) / warm
         self.desk.tell("bid", now, rpc, (entry, sick, warm * entry.size / max(0.3, self.slow), wait))
 
-    def took(self, now, rpc, nth, cost):
+    def beat(self, now: float) -> None:
+        """Tell the desk what a node of this size carries, once it has been warm for all of that time."""
+        if self.entry.state == NodeState.READY and self.warmth(now - CARRIED_MS) >= 1.0:
+            self.desk.tell("carries", self.carried.total(now, inner=True) / CARRIED_MS / self.entry.size)
+
+    def took(self, now: float, rpc: int, nth: int, cost: float) -> None:
         self.out[rpc, nth] = now, cost
         self.sent.add(now, cost)
         self.usual_out += 0.05 * (len(self.out) - 1 - self.usual_out)
 
-    def ended(self, now, event, typical, soft_ms):
-        self.out.pop((event.rpc, event.nth), None)
+    def ended(self, now: float, event: PickEnded, typical: float, soft_ms: float) -> None:
+        _, cost = self.out.pop((event.rpc, event.nth), (now, 0.0))
         ending, late = event.ending, event.took_ms > soft_ms
         if ending in (Ending.OK, Ending.ERROR, Ending.FULL):
             self.heard_at = now
         if ending == Ending.OK:
             self.slow += 0.1 * (min(20.0, event.took_ms / typical) - self.slow)
-            if self.shy_ms and now >= self.shy_until:
-                self.desk.tell("log", f"node {self.entry.node} back after {self.shy_ms:.0f} ms")
-                self.shy_ms = 0.0
+            self.carried.add(now, cost)
             self.bad *= 0.8
+            if self.shy_ms and now >= self.shy_until and self.bad < 0.2:
+                self.desk.tell("log", f"node {self.entry.node} back, bad {self.bad:.2f}")
+                self.shy_ms = 0.0
             if event.took_ms < 0.6 * soft_ms and len(self.out) + 2 > self.limit:
                 self.limit += 1.0 / self.limit
         elif ending in BROKEN or ending == Ending.NO_CONNECT:
@@ -163,7 +204,8 @@
             if self.bad > 0.45 and now >= self.shy_until:
                 self.shy_ms = min(8000.0, max(500.0, 2.0 * self.shy_ms))
                 self.shy_until = now + self.shy_ms
-                self.desk.tell("log", f"node {self.entry.node} shunned {self.shy_ms:.0f} ms, bad {self.bad:.2f}")
+                self.desk.tell("log", f"node {self.entry.node} shunned {self.shy_ms:.0f} ms, "
+                                      f"bad {self.bad:.2f}")
         if (late or ending in (Ending.TIMEOUT, Ending.FULL)) and now > self.cut_at:
             self.limit, self.cut_at = max(2.0, min(self.limit, len(self.out) + 1) * 0.85), now + 500.0
 
@@ -171,23 +213,23 @@
 class Ledger:
     """Exposure: picks at builds on trial against RPCs taken, per method where that is told."""
 
-    def __init__(self, exposure, methods):
+    def __init__(self, exposure: Exposure, methods: int):
         self.exposure = exposure
         count = methods if exposure.by_method else 1
         self.taken = [Ring(exposure.window_ms) for _ in range(count)]
-        self.picked = [{} for _ in range(count)]
+        self.picked: list[dict[int, Ring]] = [{} for _ in range(count)]
 
-    def row(self, method):
+    def row(self, method: int) -> int:
         return method if self.exposure.by_method else 0
 
-    def room(self, now, method, build, cap, free):
+    def room(self, now: float, method: int, build: int, cap: float, free: float) -> bool:
         row = self.row(method)
         if cap <= 0.0:
             return False
         used = self.picked[row][build].total(now) if build in self.picked[row] else 0.0
         return used + 1.0 <= free + cap * self.taken[row].total(now, inner=True)
 
-    def pick(self, now, method, build):
+    def pick(self, now: float, method: int, build: int) -> None:
         picked = self.picked[self.row(method)]
         if build not in picked:
             picked[build] = Ring(self.exposure.window_ms)
@@ -197,57 +239,59 @@
 class Desk(Part):
     """Places RPCs: calls for bids, picks by two random choices, sends again, pushes back, aborts."""
 
-    def __init__(self, due, out, start, now):
+    def __init__(self, due: Due, out: list[Action], start: Start, now: float, judge: Judge):
         super().__init__(due)
         self.acts, self.methods, self.place = out, start.methods, start.place
         self.permits, self.prices, self.guards = start.permits, start.prices, start.guards
         self.chance = random.Random(start.seed)
         self.ledger = Ledger(start.exposure, len(start.methods))
         self.exposure, self.began = start.exposure, now
-        self.nodes, self.rpcs, self.held, self.news, self.judge = {}, {}, deque(), None, None
-        self.per_unit = [m.soft_ms / 5.0 for m in start.methods]  # typical answer time, for each unit of hinted cost
-        self.units = [1.0] * len(start.methods)
-        self.carried, self.rate = Ring(4000.0, 16), 0.0
+        self.judge = judge
+        self.nodes: dict[int, Node] = {}
+        self.rpcs: dict[int, Rpc] = {}
+        self.held: deque[Rpc] = deque()
+        self.news: RolloutNews | None = None
+        # Typical answer time: for each unit of hinted cost where costs are hinted, else for one RPC.
+        self.per_unit = [m.soft_ms / 5.0 for m in start.methods]
+        self.entries: dict[int, NodeEntry] = {}
+        self.rate = 0.0  # what warm nodes carry: cost a ms and unit of size
         self.copies, self.taken = Ring(5000.0, 10), Ring(5000.0, 10)
-        self.one_way = {}
+        self.one_way: dict[int, int] = {}
 
-    def log(self, text):
+    def log(self, text: str) -> None:
         self.acts.append(LogLine(text))
 
-    def listing(self, now, event):
+    def listing(self, now: float, event: NodeList) -> None:
         if event.kind == ListKind.FAILED:
             return
-        seen = set()
-        for entry in event.entries:
-            seen.add(entry.node)
-            if entry.node in self.nodes:
-                self.nodes[entry.node].tell("listed", entry)
+        if event.kind != ListKind.DELTA:  # what a complete list leaves out has been removed
+            self.entries = {key: replace(old, state=NodeState.GONE) for key, old in self.entries.items()}
+        self.entries.update((entry.node, entry) for entry in event.entries)
+        for key, entry in self.entries.items():
+            if key in self.nodes:
+                self.nodes[key].tell("listed", entry)
             else:
-                self.nodes[entry.node] = Node(self.due, self, entry, self.guards)
-        if event.kind != ListKind.DELTA:
-            for node, actor in self.nodes.items():
-                if node not in seen:
-                    actor.tell("listed", actor.entry.__class__(
-                        node, NodeState.GONE, actor.entry.started_ms, actor.entry.build, actor.entry.zone,
-                        actor.entry.cell, actor.entry.kind, actor.entry.size))
-
-    def told(self, now, news):
-        if self.news is None or news.build != self.news.build or news.phase in (Phase.GOING_BACK, Phase.WITHDRAWN):
+                self.nodes[key] = Node(self.due, self, entry, self.guards)
+        self.judge.tell("listed", [e for e in self.entries.values() if e.state == NodeState.READY])
+        self.retry_held(now)
+
+    def told(self, now: float, news: RolloutNews) -> None:
+        if self.news is None or news.build != self.news.build or news.phase in BACKWARDS:
             self.one_way.clear()
         self.news = news
         self.retry_held(now)
 
-    def taken_in(self, now, event):
+    def taken_in(self, now: float, event: RpcTaken) -> None:
         rpc = self.rpcs[event.rpc] = Rpc(now, event, self.methods[event.method])
         self.ledger.taken[self.ledger.row(rpc.method)].add(now)
         self.taken.add(now)
         self.acts.append(SetTimer(max(0.0, rpc.end - now - 6.0), 4 * rpc.id + RPC_END))
         self.call(now, rpc)
 
-    def typical(self, rpc):
+    def typical(self, rpc: Rpc) -> float:
         return self.per_unit[rpc.method] * (rpc.cost or 1.0)
 
-    def call(self, now, rpc):
+    def call(self, now: float, rpc: Rpc) -> None:
         """Ask every node for a bid; the last answer decides."""
         if self.news is None or not self.nodes:
             self.hold(now, rpc)
@@ -257,20 +301,23 @@
         for node in self.nodes.values():
             node.tell("call", now, rpc, cost, typical, self.rate)
 
-    def bid(self, now, rpc, offer):
+    def bid(self, now: float, rpc: Rpc, offer: Bid | None) -> None:
         rpc.asked -= 1
         if offer:
             rpc.bids.append(offer)
         if rpc.asked == 0 and not rpc.done:
             self.choose(now, rpc)
 
-    def on_trial(self, build):
+    def on_trial(self, build: int) -> bool:
         news = self.news
+        assert news is not None  # nothing is placed before the first news
         return build > news.build or (build == news.build and news.phase != Phase.RELEASED)
 
-    def exposed(self, now, rpc, build):
+    def exposed(self, now: float, rpc: Rpc, build: int) -> bool:
         """Whether the exposure rule lets this RPC go to this build on trial now."""
-        news, stage, cap = self.news, self.news.stage, self.news.cap
+        news = self.news
+        assert news is not None
+        stage, cap = news.stage, news.cap
         if build > news.build:
             stage, cap = 0, self.exposure.caps[0]
         if stage < self.exposure.closed_stages and rpc.facts.repeat != Repeat.IDEMPOTENT:
@@ -279,9 +326,10 @@
         free = self.exposure.free if now - self.began > self.exposure.window_ms else 0.0
         return self.ledger.room(now, rpc.method, build, cap, free)
 
-    def choose(self, now, rpc):
+    def choose(self, now: float, rpc: Rpc) -> None:
         floor = self.one_way.get(rpc.key, 0) if self.exposure.one_way and rpc.key else 0
-        bids = [b for b in rpc.bids if b[0].build >= floor and may_go(rpc, b[0], now, self.permits.second_copies)]
+        copies = self.permits.second_copies
+        bids = [b for b in rpc.bids if b[0].build >= floor and may_go(rpc, b[0], now, copies)]
         tried = {pick[0].node for pick in rpc.picks}
         bids = [b for b in bids if b[0].node not in tried] or bids
         trial = [b for b in bids if self.on_trial(b[0].build)]
@@ -300,7 +348,7 @@
         side = trial if self.chance.random() * (mass + sum(b[2] for b in earlier)) < mass else earlier
         self.send(now, rpc, self.two_choices(side or trial or earlier))
 
-    def two_choices(self, side):
+    def two_choices(self, side: list[Bid]) -> NodeEntry:
         """Two random choices, by what each can do; near ones too where crossing zones is priced."""
         drawn = self.chance.choices(side, weights=[b[2] for b in side], k=2)
         near = [b for b in side if b[0].zone == self.place.zone]
@@ -309,7 +357,7 @@
         far = 1.0 + 8.0 * self.prices.cross_zone
         return min(drawn, key=lambda b: (b[3] * (1.0 if b[0].zone == self.place.zone else far), b[0].node))[0]
 
-    def send(self, now, rpc, entry):
+    def send(self, now: float, rpc: Rpc, entry: NodeEntry) -> None:
         nth, cost = len(rpc.picks), rpc.cost or self.per_unit[rpc.method]
         rpc.picks.append([entry, now, None])
         if self.on_trial(entry.build):
@@ -317,9 +365,10 @@
         self.nodes[entry.node].tell("took", now, rpc.id, nth, cost)
         self.acts.append(Pick(rpc.id, entry.node, rpc.end - now - 5.0))
         if nth == 0 and self.permits.second_copies and rpc.facts.repeat == Repeat.IDEMPOTENT:
-            self.acts.append(SetTimer(max(3.0 * self.typical(rpc), 0.25 * rpc.facts.soft_ms), 4 * rpc.id + RPC_COPY))
+            wait = max(3.0 * self.typical(rpc), 0.25 * rpc.facts.soft_ms)
+            self.acts.append(SetTimer(wait, 4 * rpc.id + RPC_COPY))
 
-    def hold(self, now, rpc):
+    def hold(self, now: float, rpc: Rpc) -> None:
         """No node can take it now: keep it while it can still be answered in time, else say so at once."""
         if rpc.pending():
             return
@@ -328,13 +377,13 @@
         elif rpc not in self.held:
             self.held.append(rpc)
 
-    def retry_held(self, now):
+    def retry_held(self, now: float) -> None:
         for _ in range(len(self.held)):
             rpc = self.held.popleft()
             if not rpc.done:
                 self.call(now, rpc)
 
-    def give_up(self, now, rpc):
+    def give_up(self, now: float, rpc: Rpc) -> None:
         if may_push_back(rpc):
             stay = min(self.permits.come_back_ms, 500.0) if self.permits.come_back else 0.0
             self.acts.append(PushBack(rpc.id, stay))
@@ -342,26 +391,27 @@
             self.acts.append(Abort(rpc.id))
         self.finish(rpc)
 
-    def finish(self, rpc):
+    def finish(self, rpc: Rpc) -> None:
         rpc.done = True
         if not rpc.pending():
             self.rpcs.pop(rpc.id, None)
 
-    def rang(self, now, rpc_id, what):
+    def rang(self, now: float, rpc_id: int, what: int) -> None:
         rpc = self.rpcs.get(rpc_id)
         if rpc is None or rpc.done:
             return
         if what == RPC_END:
             self.give_up(now, rpc)
-        elif rpc.pending() and len(rpc.picks) == 1 and self.copies.total(now) < 1.0 + 0.1 * self.taken.total(now):
+        elif (rpc.pending() and len(rpc.picks) == 1
+              and self.copies.total(now) < 1.0 + 0.1 * self.taken.total(now)):
             self.copies.add(now)
             self.call(now, rpc)
 
-    def gone(self, now, event):
+    def gone(self, now: float, event: RpcGone) -> None:
         if event.rpc in self.rpcs:
             self.finish(self.rpcs[event.rpc])
 
-    def ended(self, now, event):
+    def ended(self, now: float, event: PickEnded) -> None:
         rpc = self.rpcs.get(event.rpc)
         if rpc is None or event.nth >= len(rpc.picks):
             return
@@ -372,7 +422,6 @@
         if event.ending == Ending.OK:
             unit = min(event.took_ms, rpc.facts.hard_ms) / (rpc.cost or 1.0)
             self.per_unit[rpc.method] += 0.02 * (unit - self.per_unit[rpc.method])
-            self.carried.add(now, rpc.cost or self.per_unit[rpc.method])
             if self.exposure.one_way and rpc.key and self.on_trial(entry.build):
                 self.one_way[rpc.key] = max(entry.build, self.one_way.get(rpc.key, 0))
         self.judge.tell("outcome", now, entry, rpc.method, pick[1], event.ending, event.took_ms)
@@ -387,15 +436,12 @@
                 self.give_up(now, rpc)
         self.retry_held(now)
 
-    def beat(self, now):
-        warm = total = 0.0
+    def carries(self, rate: float) -> None:
+        self.rate += 0.02 * (rate - self.rate) if self.rate else rate
+
+    def beat(self, now: float) -> None:
         for node in self.nodes.values():
-            if node.entry.state == NodeState.READY:
-                total += node.entry.size
-                warm += node.entry.size * (node.warmth(now) >= 1.0)
-        if warm > 0.5 * total:
-            rate = self.carried.total(now) / 4000.0 / warm
-            self.rate += 0.2 * (rate - self.rate)
+            node.tell("beat", now)
         self.retry_held(now)
 
 
@@ -405,8 +451,9 @@
     def __init__(self):
         self.level, self.count, self.failed = 0.0, 0, 0
 
-    def step(self, failure, before, rise):
-        after = min(0.95, before + rise)
+    def step(self, failure: bool, before: float, rise: float) -> None:
+        before = min(before, 0.95 - rise)  # with nearly all failing on both builds, still two different rates
+        after = before + rise
         self.level = max(0.0, self.level + (
             math.log(after / before) if failure else math.log((1.0 - after) / (1.0 - before))))
         self.count += 1
@@ -416,24 +463,30 @@
 class Judge(Part):
     """The multichart CUSUM and this marshal's vote."""
 
-    def __init__(self, due, out, start, desk):
+    def __init__(self, due: Due, out: list[Action], start: Start):
         super().__init__(due)
-        self.acts, self.desk, self.voting, self.methods = out, desk, start.voting, start.methods
-        self.stage_count = len(start.rollout.stage_shares)
+        self.acts, self.voting, self.methods = out, start.voting, start.methods
+        self.marshals = start.place.marshals
+        self.ready: list[NodeEntry] = []
         weight = 1.0 / len(start.methods)
         self.threshold = math.log(100_000.0) + math.log(max(1, start.place.marshals)) - math.log(weight)
         self.before = [(Ring(20_000.0, 20), Ring(20_000.0, 20)) for _ in start.methods]
-        self.charts, self.news, self.crossed, self.seen, self.stage_at = {}, None, None, 0, 0.0
-        self.cast, self.cast_at, self.sure, self.retry_at, self.tries = None, 0.0, False, 0.0, 0
-
-    def before_rate(self, now, method):
+        self.charts: dict[int, Chart] = {}
+        self.news: RolloutNews | None = None
+        self.crossed: int | None = None
+        self.cast: tuple[Verdict, int, int] | None = None
+        self.seen, self.stage_at = 0, 0.0
+        self.cast_at, self.sure, self.retry_at, self.tries = 0.0, False, 0.0, 0
+
+    def before_rate(self, now: float, method: int) -> float:
         """My failure share on the earlier build, floored; the floor alone below 20 outcomes."""
         count, failed = (ring.total(now) for ring in self.before[method])
         return max(0.02, failed / count) if count >= 20 else 0.02
 
-    def outcome(self, now, entry, method, sent, ending, took):
+    def outcome(self, now: float, entry: NodeEntry, method: int, sent: float, ending: Ending,
+                took: float) -> None:
         late = took > self.methods[method].soft_ms
-        if ending in NEVER_RAN or ending == Ending.MOOT:
+        if ending in NEVER_RAN:
             return  # the build did not see it
         if ending in (Ending.CANCELLED, Ending.TIMEOUT) and not late:
             return  # cut shorter than the soft deadline: it tells neither way
@@ -441,13 +494,15 @@
         news = self.news
         if news is None or entry.build > news.build:
             return
-        if entry.build < news.build or news.phase in (Phase.GOING_BACK, Phase.WITHDRAWN):
+        if entry.build < news.build or news.phase in BACKWARDS:
             if entry.build < news.build:
                 self.before[method][0].add(now)
                 self.before[method][1].add(now, float(failure))
             return
         if entry.started_ms and sent < entry.started_ms + 3000.0:
             return  # its first 3 s
+        if news.phase == Phase.RELEASED and self.before[method][0].total(now) < 20:
+            return  # nothing left to compare with, and at a first build nothing to go back to
         chart = self.charts.setdefault(method, Chart())
         before = self.before_rate(now, method)
         chart.step(failure, before, 0.15)
@@ -455,10 +510,14 @@
         if chart.level >= self.threshold and self.crossed is None:
             self.crossed = news.build
             self.acts.append(LogLine(f"back {news.build}: method {method} chart {chart.level:.1f} of "
-                                     f"{self.threshold:.1f}, {chart.failed} of {chart.count}, before {before:.3f}"))
+                                     f"{self.threshold:.1f}, {chart.failed} of {chart.count}, "
+                                     f"before {before:.3f}"))
             self.decide(now)
 
-    def told(self, now, news):
+    def listed(self, ready: list[NodeEntry]) -> None:
+        self.ready = ready
+
+    def told(self, now: float, news: RolloutNews) -> None:
         old = self.news
         if old is None or news.build != old.build:
             if old is not None and old.phase == Phase.RELEASED:
@@ -466,11 +525,12 @@
             self.charts, self.crossed = {}, None
         if old is None or (news.build, news.stage, news.phase) != (old.build, old.stage, old.phase):
             self.seen, self.stage_at, self.cast = 0, now - news.age_ms, None
-            self.acts.append(LogLine(f"build {news.build} stage {news.stage} {news.phase.name} cap {news.cap:.3f}"))
+            self.acts.append(LogLine(
+                f"build {news.build} stage {news.stage} {news.phase.name} cap {news.cap:.3f}"))
         self.news = news
         self.decide(now)
 
-    def reply(self, now, ending):
+    def reply(self, now: float, ending: Ending) -> None:
         if ending == Ending.OK:
             self.sure, self.tries = True, 0
         elif ending == Ending.MOOT:
@@ -479,11 +539,11 @@
         else:
             # Each marshal keeps to its share of the votes that are taken, and waits longer each time.
             self.tries = min(5, self.tries + 1)
-            pace = 1000.0 * self.desk.place.marshals / max(0.1, self.voting.votes_per_s)
+            pace = 1000.0 * self.marshals / max(0.1, self.voting.votes_per_s)
             self.sure, self.retry_at = False, now + max(2.0 * pace, 150.0 * 2 ** self.tries)
 
-    def wanted(self, now):
-        news, voting = self.news, self.voting
+    def wanted(self, now: float, news: RolloutNews) -> Verdict:
+        voting = self.voting
         if self.crossed == news.build and news.phase in (Phase.ON_TRIAL, Phase.RELEASED):
             return Verdict.BACK
         if news.phase != Phase.ON_TRIAL:
@@ -491,16 +551,16 @@
         doubt = any(c.level > 0.5 * self.threshold for c in self.charts.values())
         if voting.gate == Gate.CLOCK:
             return Verdict.HOLD if doubt else Verdict.NONE
-        starts = [n.entry.started_ms for n in self.desk.nodes.values()
-                  if n.entry.build == news.build and n.entry.state == NodeState.READY]
+        starts = [entry.started_ms for entry in self.ready if entry.build == news.build]
         if not starts or doubt or now < max(starts) + 3000.0:
             return Verdict.NONE
         return Verdict.ON if self.seen >= 20 or now >= self.stage_at + 4000.0 else Verdict.NONE
 
-    def decide(self, now):
-        if self.news is None or now < self.retry_at:
+    def decide(self, now: float) -> None:
+        news = self.news
+        if news is None or now < self.retry_at:
             return
-        want, news = self.wanted(now), self.news
+        want = self.wanted(now, news)
         key = want, news.stage, news.build
         if want == Verdict.NONE:
             return
@@ -508,27 +568,30 @@
         if key == self.cast and waited < (0.5 * self.voting.vote_ms if self.sure else self.voting.answer_ms):
             return
         if key != self.cast:
-            self.acts.append(LogLine(f"vote {want.name} build {news.build} stage {news.stage} after {self.seen}"))
+            self.acts.append(LogLine(
+                f"vote {want.name} build {news.build} stage {news.stage} after {self.seen}"))
         self.cast, self.cast_at, self.sure = key, now, False
         self.acts.append(Vote(want, news.stage, news.build))
 
-    def beat(self, now):
+    def beat(self, now: float) -> None:
         self.decide(now)
 
 
 class Marshal:
     """One life of one instance: the loop that empties the inboxes."""
 
-    def __init__(self, start):
-        self.start, self.acts, self.due = start, [], deque()
+    def __init__(self, start: Start):
+        self.start = start
+        self.acts: list[Action] = []
+        self.due: Due = deque()
 
-    def begin(self, now):
-        self.desk = Desk(self.due, self.acts, self.start, now)
-        self.judge = self.desk.judge = Judge(self.due, self.acts, self.start, self.desk)
+    def begin(self, now: float) -> list[Action]:
+        self.judge = Judge(self.due, self.acts, self.start)
+        self.desk = Desk(self.due, self.acts, self.start, now, self.judge)
         self.acts.append(SetTimer(BEAT_MS, BEAT))
         return self.flush()
 
-    def flush(self):
+    def flush(self) -> list[Action]:
         while self.due:
             part = self.due.popleft()
             note, args = part.inbox.popleft()
@@ -537,7 +600,7 @@
         self.acts.clear()
         return out
 
-    def handle(self, now, event):
+    def handle(self, now: float, event: Event) -> list[Action]:
         desk, judge = self.desk, self.judge
         match event:
             case RpcTaken():
@@ -561,6 +624,4 @@
                 if event.ending == Ending.OK:
                     desk.tell("told", now, event)
                     judge.tell("told", now, event)
-            case ProbeEnded() | StreamBegun() | Tally() | Disputed():
-                pass
         return self.flush()
--- /dev/null
+++ b/tests/test_judge.py
@@ -0,0 +1,71 @@
+"""The charts and the votes, as traces of the module alone."""
+
+import itertools
+
+from brookreach import interface as ifc
+
+from .helpers import ONCE, TraceCase, World, method, node, start
+
+
+def trial(**facts):
+    """Three nodes of build 1 and a warm one of build 2, which is on trial."""
+    world = World(start(**facts))
+    world.news(1, 2, 1.0, ifc.Phase.RELEASED)
+    world.nodes(node(1), node(2), node(3))
+    world.quietly(100)
+    world.nodes(node(1), node(2), node(3), node(4, build=2, started=world.now - 1.0))
+    world.news(2, 1, 0.5)
+    return world
+
+
+def every_other():
+    """Build 2 fails every second pick."""
+    turn = itertools.cycle([True, False])
+    return lambda number: number == 4 and next(turn)
+
+
+class JudgeTest(TraceCase):
+    def test_bad_build_goes_back(self):
+        world = trial()
+        world.say("every other pick of build 2 errs; 3 s are ignored, then the chart climbs and one marshal votes back")
+        world.quietly(600, fails=every_other())
+        self.compare("bad_build", [t for t in world.trace if "node" not in t])
+
+    def test_on_waits_and_follows_the_stage(self):
+        world = trial()
+        world.say("nothing fails: on comes 3 s after the start, once; lost and full answers are tried again")
+        world.quietly(160)
+        world.news(2, 1, 0.5, reply=True, ending=ifc.Ending.TIMEOUT)
+        world.wait(1000.0)
+        world.news(2, 1, 0.5, reply=True)
+        world.wait(2000.0)
+        world.say("the next stage is told")
+        world.news(2, 2, 1.0)
+        world.quietly(200)
+        world.say("released: nothing more to say")
+        world.news(2, 2, 1.0, ifc.Phase.RELEASED)
+        world.quietly(50)
+        self.compare("on", world.trace)
+
+    def test_back_is_renewed_and_ends_with_the_way_back(self):
+        world = trial()
+        world.quietly(600, fails=every_other())
+        world.trace.clear()
+        world.say("votes live 6 s: renewed every 3 s, until the build is told to go back")
+        world.news(2, 1, 0.5, reply=True)
+        world.wait(10_000.0)
+        world.news(2, 1, 0.0, ifc.Phase.GOING_BACK)
+        world.wait(5_000.0)
+        self.compare("back_renewed", world.trace)
+
+    def test_clock_gate_holds_on_doubt(self):
+        world = trial(gate=ifc.Gate.CLOCK)
+        world.quietly(200)
+        bad = iter([True] * 4 + [False] * 200)
+        world.quietly(80, fails=lambda number: number == 4 and next(bad))
+        self.compare("hold", [t for t in world.trace if "node" not in t])
+
+    def test_all_failing_on_both_builds_is_no_fault_of_the_charts(self):
+        world = trial(methods=(method(), method(ONCE, name="write")))
+        world.quietly(400, fails=lambda number: True, method=1)
+        self.compare("all_fail", [t for t in world.trace if "log: node" not in t and "abort" not in t][:8])
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,113 @@
+"""Each of the five rules at its edge, as traces of the module alone."""
+
+from brookreach import interface as ifc
+
+from .helpers import IDEM, ONCE, TOKEN, TraceCase, World, method, node, start
+
+GONE, DRAINING = ifc.NodeState.GONE, ifc.NodeState.DRAINING
+
+
+def plain(*nodes, **facts):
+    world = World(start(**facts))
+    world.news(1, 2, 1.0, ifc.Phase.RELEASED)
+    world.nodes(*(nodes or (node(1), node(2), node(3))))
+    return world
+
+
+class RulesTest(TraceCase):
+    def test_every_rpc_is_answered(self):
+        world = plain(methods=(method(), method(ONCE)))
+        for kind, what in ((0, "idempotent"), (1, "non-idempotent")):
+            world.say(f"{what}: no answer comes until the deadline")
+            world.rpc(kind, wait=800.0)
+            world.wait(900.0)
+        world.say("no node at all: pushed back while an answer in time can't come any more")
+        world.nodes()
+        world.rpc(0)
+        world.wait(3000.0)
+        self.compare("answered", world.trace)
+
+    def test_no_effect_twice(self):
+        world = plain(methods=(method(IDEM), method(TOKEN, ifc.Group.CELL), method(ONCE)))
+        for ending in (ifc.Ending.FULL, ifc.Ending.RESET):
+            for kind, name in ((0, "idempotent"), (1, "tokened, its cell only"), (2, "non-idempotent")):
+                world.say(f"{name}, first pick ends {ending.name}")
+                rpc = world.rpc(kind)
+                world.end(rpc, ending)
+                if len(world.open[rpc]) > 1:
+                    world.end(rpc)
+        world.say("tokened, reset after its window: no further pick")
+        rpc = world.rpc(1, wait=5000.0)
+        world.wait(2001.0)
+        world.end(rpc, ifc.Ending.RESET)
+        self.compare("effects", world.trace)
+
+    def test_drains(self):
+        world = plain(node(1), node(2))
+        world.nodes(node(1, state=DRAINING), kind=ifc.ListKind.DELTA)
+        for _ in range(6):
+            world.rpc()
+        world.say("a complete list that leaves node 2 out")
+        world.nodes(node(1))
+        for _ in range(3):
+            world.rpc()
+        self.compare("drains", world.trace)
+
+    def test_cold_node_is_not_pushed_over(self):
+        world = plain()
+        world.quietly(300)
+        world.say("only a node that has just started is left: its budget, then waiting, then pushing back")
+        world.nodes(node(9, started=world.now - 1.0))
+        for _ in range(30):
+            world.rpc()
+        world.wait(1000.0)
+        self.compare("cold", [t for t in world.trace if "shun" not in t])
+
+    def test_exposure(self):
+        for by_method in (False, True):
+            world = plain(methods=(method(), method(ONCE)), by_method=by_method, closed=1)
+            world.quietly(200)
+            world.trace = []
+            world.say("all nodes run build 2, unannounced: free picks and a tenth of the RPCs taken in the window; "
+                      "closed to effects" + (", by method" if by_method else ""))
+            world.nodes(node(1, build=2), node(2, build=2))
+            for number in range(200):
+                world.rpc(number % 2, wait=10_000.0)
+            picks = [t for t in world.trace if " pick " in t]
+            world.say(f"{len(picks)} picks in all for 200 RPCs after 200 earlier ones")
+            world.news(2, 1, 0.0, ifc.Phase.GOING_BACK)
+            world.say("cap 0: nothing more")
+            world.rpc()
+            name = "exposure_by_method" if by_method else "exposure"
+            self.compare(name, [t for t in world.trace if " pick " not in t and " push" not in t])
+
+    def test_one_way_keys(self):
+        world = plain(node(1), one_way=True)
+        world.nodes(node(2, build=2), kind=ifc.ListKind.DELTA)
+        world.news(2, 1, 1.0)
+        world.wait(5000.0)
+        while 7 not in world.marshal.desk.one_way:
+            world.end(world.rpc(key=7))
+        world.trace = []
+        world.say("key 7 was answered by build 2: it stays there; key 8 goes to either")
+        for number in range(10):
+            world.end(world.rpc(key=7 + number % 2))
+        self.compare("one_way", [t for t in world.trace if "log" not in t])
+
+    def test_restart_spends_no_free_picks(self):
+        world = World(start())
+        world.nodes(node(1, build=2), node(2, build=2), kind=ifc.ListKind.CACHED)
+        world.say("no news yet: RPCs wait; then cap 0.1 and no free picks")
+        for _ in range(12):
+            world.rpc()
+        world.news(2, 0, 0.1)
+        self.compare("restart", world.trace)
+
+    def test_failed_node_and_its_return(self):
+        world = plain()
+        world.quietly(40)
+        world.say("node 2 fails fast, then serves again")
+        world.quietly(150, fails=lambda number: number == 2)
+        world.say("serves again")
+        world.quietly(250)
+        self.compare("node_returns", world.trace)
