--- a/brookreach/decide.py
+++ b/brookreach/decide.py
@@ -46,10 +46,12 @@
     Vote,
 )
 
-Bid = tuple[NodeEntry, bool, float, float]  # node, sick, what it can do, expected wait
+Bid = tuple[NodeEntry, int, float, float]  # node, how sick, what it can do, expected wait
 BACKWARDS = (Phase.GOING_BACK, Phase.WITHDRAWN)
 NEVER_RAN = (Ending.FULL, Ending.NO_CONNECT, Ending.MOOT)
 BROKEN = (Ending.ERROR, Ending.TIMEOUT, Ending.RESET)
+WELL, ERRING, SILENT = 0, 1, 2  # how sick a node is
+WARM_UP_MS = 3000.0
 CARRIED_MS = 4000.0  # over this time a warm node shows what it carries
 RPC_END, RPC_COPY, BEAT = 0, 1, 2  # what a timer is for; its token is 4 x RPC + one of these
 BEAT_MS = 250.0
@@ -143,6 +145,7 @@
         self.entry = entry
         self.out: dict[tuple[int, int], tuple[float, float]] = {}  # pick: sent at, cost
         self.slow, self.usual_out, self.bad, self.shy_until, self.shy_ms = 1.0, 0.0, 0.0, 0.0, 0.0
+        self.ails = WELL
         self.limit, self.cut_at, self.heard_at = 16.0, 0.0, 0.0
         self.sent, self.carried = Ring(self.guards.fall_ms, 20), Ring(CARRIED_MS, 16)
 
@@ -171,7 +174,8 @@
             return
         oldest = next(iter(self.out.values()))[0] if self.out else now
         silent = now - max(oldest, self.heard_at) > 3.0 * typical * max(1.0, self.slow) + 200.0
-        sick = silent or now < self.shy_until or (self.shy_ms > 0.0 and len(self.out) > 0)
+        shy = now < self.shy_until or (self.shy_ms > 0.0 and len(self.out) > 0)
+        sick = SILENT if silent else self.ails if shy else WELL
         wait = typical * self.slow * (1 + len(self.out)) / (1 + self.usual_out) / warm
         self.desk.tell("bid", now, rpc, (entry, sick, warm * entry.size / max(0.3, self.slow), wait))
 
@@ -204,6 +208,7 @@
             if self.bad > 0.45 and now >= self.shy_until:
                 self.shy_ms = min(8000.0, max(500.0, 2.0 * self.shy_ms))
                 self.shy_until = now + self.shy_ms
+                self.ails = ERRING if ending == Ending.ERROR else SILENT
                 self.desk.tell("log", f"node {self.entry.node} shunned {self.shy_ms:.0f} ms, "
                                       f"bad {self.bad:.2f}")
         if (late or ending in (Ending.TIMEOUT, Ending.FULL)) and now > self.cut_at:
@@ -336,7 +341,9 @@
         earlier = [b for b in bids if not self.on_trial(b[0].build)]
         allowed = {build for build in sorted({b[0].build for b in trial}) if self.exposed(now, rpc, build)}
         trial = [b for b in trial if b[0].build in allowed]
-        well = [[b for b in side if not b[1]] for side in (trial, earlier)]
+        # A build on trial that errs keeps its picks, or it would starve the charts that are to judge it; the
+        # exposure cap bounds the harm. A node that does not answer loses them on either side.
+        well = [[b for b in side if b[1] < worst] for side, worst in ((trial, SILENT), (earlier, ERRING))]
         if 2 * (len(well[0]) + len(well[1])) >= len(trial) + len(earlier):
             trial, earlier = (well[0], well[1]) if well[0] or well[1] else (trial, earlier)
         if rpc.picks and earlier:
@@ -466,7 +473,7 @@
     def __init__(self, due: Due, out: list[Action], start: Start):
         super().__init__(due)
         self.acts, self.voting, self.methods = out, start.voting, start.methods
-        self.marshals = start.place.marshals
+        self.marshals, self.shares, self.places = start.place.marshals, start.rollout.stage_shares, 0
         self.ready: list[NodeEntry] = []
         weight = 1.0 / len(start.methods)
         self.threshold = math.log(100_000.0) + math.log(max(1, start.place.marshals)) - math.log(weight)
@@ -499,8 +506,8 @@
                 self.before[method][0].add(now)
                 self.before[method][1].add(now, float(failure))
             return
-        if entry.started_ms and sent < entry.started_ms + 3000.0:
-            return  # its first 3 s
+        if late and entry.started_ms and sent < entry.started_ms + WARM_UP_MS:
+            return  # a cold node is slow whatever its build; an error counts from the first second on
         if news.phase == Phase.RELEASED and self.before[method][0].total(now) < 20:
             return  # nothing left to compare with, and at a first build nothing to go back to
         chart = self.charts.setdefault(method, Chart())
@@ -516,6 +523,8 @@
 
     def listed(self, ready: list[NodeEntry]) -> None:
         self.ready = ready
+        if self.news is None or self.news.phase == Phase.RELEASED:
+            self.places = len(ready)
 
     def told(self, now: float, news: RolloutNews) -> None:
         old = self.news
@@ -552,9 +561,11 @@
         if voting.gate == Gate.CLOCK:
             return Verdict.HOLD if doubt else Verdict.NONE
         starts = [entry.started_ms for entry in self.ready if entry.build == news.build]
-        if not starts or doubt or now < max(starts) + 3000.0:
+        if not starts or doubt or now < max(starts) + WARM_UP_MS:
             return Verdict.NONE
-        return Verdict.ON if self.seen >= 20 or now >= self.stage_at + 4000.0 else Verdict.NONE
+        if len(starts) < round(self.shares[news.stage] * self.places) and now < self.stage_at + 10_000.0:
+            return Verdict.NONE  # machines of this stage are still to come
+        return Verdict.ON if self.seen >= 20 or now >= max(starts) + 4000.0 else Verdict.NONE
 
     def decide(self, now: float) -> None:
         news = self.news
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -27,7 +27,7 @@
 class JudgeTest(TraceCase):
     def test_bad_build_goes_back(self):
         world = trial()
-        world.say("every other pick of build 2 errs; 3 s are ignored, then the chart climbs and one marshal votes back")
+        world.say("every other pick of build 2 errs: the chart climbs and this marshal alone votes back")
         world.quietly(600, fails=every_other())
         self.compare("bad_build", [t for t in world.trace if "node" not in t])
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -68,7 +68,7 @@
             world = plain(methods=(method(), method(ONCE)), by_method=by_method, closed=1)
             world.quietly(200)
             world.trace = []
-            world.say("all nodes run build 2, unannounced: free picks and a tenth of the RPCs taken in the window; "
+            world.say("all nodes run build 2, unannounced: free picks and a tenth of the RPCs taken; "
                       "closed to effects" + (", by method" if by_method else ""))
             world.nodes(node(1, build=2), node(2, build=2))
             for number in range(200):
