Give each method a second chart, on speed; let the trial build have its share by size

Cause: builds that need more work show no failures until queues form, and a slow build lost its picks before the charts could see it.

--- a/brookreach/decide.py
+++ b/brookreach/decide.py
@@ -21,7 +21,6 @@
     Action,
     Ending,
     Event,
-    Exposure,
     Gate,
     Group,
     Guards,
@@ -51,6 +50,7 @@
 NEVER_RAN = (Ending.FULL, Ending.NO_CONNECT, Ending.MOOT)
 BROKEN = (Ending.ERROR, Ending.TIMEOUT, Ending.RESET)
 WELL, ERRING, SILENT = 0, 1, 2  # how sick a node is
+FLOOR = 0.02  # of the before-rate
 WARM_UP_MS = 3000.0
 CARRIED_MS = 4000.0  # over this time a warm node shows what it carries
 RPC_END, RPC_COPY, BEAT = 0, 1, 2  # what a timer is for; its token is 4 x RPC + one of these
@@ -177,7 +177,8 @@
         shy = now < self.shy_until or (self.shy_ms > 0.0 and len(self.out) > 0)
         sick = SILENT if silent else self.ails if shy else WELL
         wait = typical * self.slow * (1 + len(self.out)) / (1 + self.usual_out) / warm
-        self.desk.tell("bid", now, rpc, (entry, sick, warm * entry.size / max(0.3, self.slow), wait))
+        # What it can do goes by size and warmth: slowness shows in the wait, and a slow build must not hide.
+        self.desk.tell("bid", now, rpc, (entry, sick, warm * entry.size, wait))
 
     def beat(self, now: float) -> None:
         """Tell the desk what a node of this size carries, once it has been warm for all of that time."""
@@ -218,27 +219,16 @@
 class Ledger:
     """Exposure: picks at builds on trial against RPCs taken, per method where that is told."""
 
-    def __init__(self, exposure: Exposure, methods: int):
-        self.exposure = exposure
-        count = methods if exposure.by_method else 1
-        self.taken = [Ring(exposure.window_ms) for _ in range(count)]
-        self.picked: list[dict[int, Ring]] = [{} for _ in range(count)]
+    def __init__(self, window_ms: float, by_method: bool):
+        self.window_ms, self.by_method = window_ms, by_method
+        self.rings: dict[tuple[int, int], Ring] = {}  # by method and build; build 0: RPCs taken
 
-    def row(self, method: int) -> int:
-        return method if self.exposure.by_method else 0
+    def ring(self, method: int, build: int) -> Ring:
+        return self.rings.setdefault((method if self.by_method else 0, build), Ring(self.window_ms))
 
     def room(self, now: float, method: int, build: int, cap: float, free: float) -> bool:
-        row = self.row(method)
-        if cap <= 0.0:
-            return False
-        used = self.picked[row][build].total(now) if build in self.picked[row] else 0.0
-        return used + 1.0 <= free + cap * self.taken[row].total(now, inner=True)
-
-    def pick(self, now: float, method: int, build: int) -> None:
-        picked = self.picked[self.row(method)]
-        if build not in picked:
-            picked[build] = Ring(self.exposure.window_ms)
-        picked[build].add(now)
+        taken = self.ring(method, 0).total(now, inner=True)
+        return cap > 0.0 and self.ring(method, build).total(now) + 1.0 <= free + cap * taken
 
 
 class Desk(Part):
@@ -249,7 +239,7 @@
         self.acts, self.methods, self.place = out, start.methods, start.place
         self.permits, self.prices, self.guards = start.permits, start.prices, start.guards
         self.chance = random.Random(start.seed)
-        self.ledger = Ledger(start.exposure, len(start.methods))
+        self.ledger = Ledger(start.exposure.window_ms, start.exposure.by_method)
         self.exposure, self.began = start.exposure, now
         self.judge = judge
         self.nodes: dict[int, Node] = {}
@@ -288,7 +278,7 @@
 
     def taken_in(self, now: float, event: RpcTaken) -> None:
         rpc = self.rpcs[event.rpc] = Rpc(now, event, self.methods[event.method])
-        self.ledger.taken[self.ledger.row(rpc.method)].add(now)
+        self.ledger.ring(rpc.method, 0).add(now)
         self.taken.add(now)
         self.acts.append(SetTimer(max(0.0, rpc.end - now - 6.0), 4 * rpc.id + RPC_END))
         self.call(now, rpc)
@@ -368,7 +358,7 @@
         nth, cost = len(rpc.picks), rpc.cost or self.per_unit[rpc.method]
         rpc.picks.append([entry, now, None])
         if self.on_trial(entry.build):
-            self.ledger.pick(now, rpc.method, entry.build)
+            self.ledger.ring(rpc.method, entry.build).add(now)
         self.nodes[entry.node].tell("took", now, rpc.id, nth, cost)
         self.acts.append(Pick(rpc.id, entry.node, rpc.end - now - 5.0))
         if nth == 0 and self.permits.second_copies and rpc.facts.repeat == Repeat.IDEMPOTENT:
@@ -431,7 +421,8 @@
             self.per_unit[rpc.method] += 0.02 * (unit - self.per_unit[rpc.method])
             if self.exposure.one_way and rpc.key and self.on_trial(entry.build):
                 self.one_way[rpc.key] = max(entry.build, self.one_way.get(rpc.key, 0))
-        self.judge.tell("outcome", now, entry, rpc.method, pick[1], event.ending, event.took_ms)
+        self.judge.tell("outcome", now, entry, rpc.method, pick[1], event.ending, event.took_ms,
+                        rpc.cost or 1.0)
         if event.final or rpc.done:
             rpc.done = True
             self.finish(rpc)
@@ -453,18 +444,27 @@
 
 
 class Chart:
-    """One method's CUSUM on the trial build's outcomes."""
+    """One stream's CUSUM: it starts at 0 and never falls below."""
+
+    def __init__(self) -> None:
+        self.level, self.count, self.up = 0.0, 0, 0
+
+    def step(self, size: float) -> None:
+        self.level = max(0.0, self.level + size)
+        self.count, self.up = self.count + 1, self.up + (size > 0.0)
 
-    def __init__(self):
-        self.level, self.count, self.failed = 0.0, 0, 0
 
-    def step(self, failure: bool, before: float, rise: float) -> None:
-        before = min(before, 0.95 - rise)  # with nearly all failing on both builds, still two different rates
-        after = before + rise
-        self.level = max(0.0, self.level + (
-            math.log(after / before) if failure else math.log((1.0 - after) / (1.0 - before))))
-        self.count += 1
-        self.failed += failure
+def failure_step(failure: bool, before: float, rise: float) -> float:
+    """The log likelihood ratio of one outcome, after-rate to before-rate."""
+    before = min(before, 0.95 - rise)  # with nearly all failing on both builds, still two different rates
+    after = before + rise
+    return math.log(after / before) if failure else math.log((1.0 - after) / (1.0 - before))
+
+
+def speed_step(over: float, spread: float, shift: float) -> float:
+    """The same for the log of an answer's time over the earlier build's, a normal mean shifted by `shift`; a
+    single answer counts no more than an error would."""
+    return max(-2.0, min(2.0, shift / spread ** 2 * (over - 0.5 * shift)))
 
 
 class Judge(Part):
@@ -475,49 +475,48 @@
         self.acts, self.voting, self.methods = out, start.voting, start.methods
         self.marshals, self.shares, self.places = start.place.marshals, start.rollout.stage_shares, 0
         self.ready: list[NodeEntry] = []
-        weight = 1.0 / len(start.methods)
+        weight = 0.5 / len(start.methods)  # two charts a method: failures and speed
         self.threshold = math.log(100_000.0) + math.log(max(1, start.place.marshals)) - math.log(weight)
-        self.before = [(Ring(20_000.0, 20), Ring(20_000.0, 20)) for _ in start.methods]
-        self.charts: dict[int, Chart] = {}
+        self.before = [[Ring(20_000.0, 20) for _ in range(4)] for _ in start.methods]
+        self.charts: dict[tuple[int, str], Chart] = {}
         self.news: RolloutNews | None = None
         self.crossed: int | None = None
         self.cast: tuple[Verdict, int, int] | None = None
         self.seen, self.stage_at = 0, 0.0
         self.cast_at, self.sure, self.retry_at, self.tries = 0.0, False, 0.0, 0
 
-    def before_rate(self, now: float, method: int) -> float:
-        """My failure share on the earlier build, floored; the floor alone below 20 outcomes."""
-        count, failed = (ring.total(now) for ring in self.before[method])
-        return max(0.02, failed / count) if count >= 20 else 0.02
-
-    def outcome(self, now: float, entry: NodeEntry, method: int, sent: float, ending: Ending,
-                took: float) -> None:
-        late = took > self.methods[method].soft_ms
-        if ending in NEVER_RAN:
-            return  # the build did not see it
-        if ending in (Ending.CANCELLED, Ending.TIMEOUT) and not late:
-            return  # cut shorter than the soft deadline: it tells neither way
-        failure = late or ending != Ending.OK
-        news = self.news
-        if news is None or entry.build > news.build:
-            return
-        if entry.build < news.build or news.phase in BACKWARDS:
-            if entry.build < news.build:
-                self.before[method][0].add(now)
-                self.before[method][1].add(now, float(failure))
+    def outcome(self, now: float, entry: NodeEntry, method: int, sent: float, ending: Ending, took: float,
+                unit: float) -> None:
+        news, late = self.news, took > self.methods[method].soft_ms
+        if news is None or entry.build > news.build or ending in NEVER_RAN or (
+                ending in (Ending.CANCELLED, Ending.TIMEOUT) and not late):
+            return  # the build did not see it, or it was cut shorter than the soft deadline
+        failure, pace = late or ending != Ending.OK, math.log(max(1.0, took) / unit)
+        count, failed, paces, squares = (ring.total(now) for ring in self.before[method])
+        if entry.build < news.build:
+            for ring, amount in zip(self.before[method], (1.0, failure, pace, pace * pace), strict=True):
+                ring.add(now, amount)
             return
-        if late and entry.started_ms and sent < entry.started_ms + WARM_UP_MS:
-            return  # a cold node is slow whatever its build; an error counts from the first second on
-        if news.phase == Phase.RELEASED and self.before[method][0].total(now) < 20:
-            return  # nothing left to compare with, and at a first build nothing to go back to
-        chart = self.charts.setdefault(method, Chart())
-        before = self.before_rate(now, method)
-        chart.step(failure, before, 0.15)
+        if news.phase in BACKWARDS or (news.phase == Phase.RELEASED and count < 20):
+            return  # decided, or nothing left to compare with
+        cold = entry.started_ms > 0.0 and sent < entry.started_ms + WARM_UP_MS
         self.seen += 1
-        if chart.level >= self.threshold and self.crossed is None:
+        # My failure share on the earlier build is the before-rate, floored; below 20 outcomes the floor.
+        if not (late and cold):  # a cold node is slow whatever its build; errors count at once
+            before = max(FLOOR, failed / count) if count >= 20 else FLOOR
+            self.step(now, method, "failures", failure_step(failure, before, 0.15), before)
+        if not cold and count >= 20 and (ending == Ending.OK or late):
+            mean = paces / count
+            spread = max(0.4, math.sqrt(max(0.0, squares / count - mean * mean)))
+            self.step(now, method, "speed", speed_step(pace - mean, spread, 0.6), mean)
+
+    def step(self, now: float, method: int, stream: str, size: float, before: float) -> None:
+        news, chart = self.news, self.charts.setdefault((method, stream), Chart())
+        chart.step(size)
+        if news and chart.level >= self.threshold and self.crossed is None:
             self.crossed = news.build
-            self.acts.append(LogLine(f"back {news.build}: method {method} chart {chart.level:.1f} of "
-                                     f"{self.threshold:.1f}, {chart.failed} of {chart.count}, "
+            self.acts.append(LogLine(f"back {news.build}: method {method} {stream} {chart.level:.1f} of "
+                                     f"{self.threshold:.1f}, {chart.up} up of {chart.count}, "
                                      f"before {before:.3f}"))
             self.decide(now)
 
@@ -530,7 +529,7 @@
         old = self.news
         if old is None or news.build != old.build:
             if old is not None and old.phase == Phase.RELEASED:
-                self.before = [(Ring(20_000.0, 20), Ring(20_000.0, 20)) for _ in self.methods]
+                self.before = [[Ring(20_000.0, 20) for _ in range(4)] for _ in self.methods]
             self.charts, self.crossed = {}, None
         if old is None or (news.build, news.stage, news.phase) != (old.build, old.stage, old.phase):
             self.seen, self.stage_at, self.cast = 0, now - news.age_ms, None
