Bound one node's weight in a chart; one call for bids at a time; bound picks at a node by its answers

Causes: (1) crash resets and fast errors of single nodes sent good builds back; (2) calls for bids ran at once, so nodes bid with stale counts and took 60 picks at a limit of 2; (3) nothing bounded queues under overload.

--- a/brookreach/decide.py
+++ b/brookreach/decide.py
@@ -17,32 +17,9 @@
 from typing import Any
 
 from brookreach.interface import (
-    Abort,
-    Action,
-    Ending,
-    Event,
-    Gate,
-    Group,
-    Guards,
-    ListKind,
-    LogLine,
-    Method,
-    NodeEntry,
-    NodeList,
-    NodeState,
-    Phase,
-    Pick,
-    PickEnded,
-    PushBack,
-    Repeat,
-    RolloutNews,
-    RpcGone,
-    RpcTaken,
-    SetTimer,
-    Start,
-    TimerRang,
-    Verdict,
-    Vote,
+    Abort, Action, Ending, Event, Gate, Group, Guards, ListKind, LogLine, Method, NodeEntry, NodeList,
+    NodeState, Phase, Pick, PickEnded, PushBack, Repeat, RolloutNews, RpcGone, RpcTaken, SetTimer, Start,
+    TimerRang, Verdict, Vote,
 )
 
 Bid = tuple[NodeEntry, int, float, float]  # node, how sick, what it can do, expected wait
@@ -84,8 +61,8 @@
     """An actor; `due` is the loop's order of work."""
 
     def __init__(self, due: Due):
-        self.inbox: deque[tuple[str, tuple[Any, ...]]] = deque()
         self.due = due
+        self.inbox: deque[tuple[str, tuple[Any, ...]]] = deque()
 
     def tell(self, note: str, *args: Any) -> None:
         self.inbox.append((note, args))
@@ -146,7 +123,7 @@
         self.out: dict[tuple[int, int], tuple[float, float]] = {}  # pick: sent at, cost
         self.slow, self.usual_out, self.bad, self.shy_until, self.shy_ms = 1.0, 0.0, 0.0, 0.0, 0.0
         self.ails = WELL
-        self.limit, self.cut_at, self.heard_at = 16.0, 0.0, 0.0
+        self.limit, self.cut_at, self.heard_at = 8.0, 0.0, 0.0
         self.sent, self.carried = Ring(self.guards.fall_ms, 20), Ring(CARRIED_MS, 16)
 
     def listed(self, entry: NodeEntry) -> None:
@@ -192,7 +169,7 @@
 
     def ended(self, now: float, event: PickEnded, typical: float, soft_ms: float) -> None:
         _, cost = self.out.pop((event.rpc, event.nth), (now, 0.0))
-        ending, late = event.ending, event.took_ms > soft_ms
+        ending = event.ending
         if ending in (Ending.OK, Ending.ERROR, Ending.FULL):
             self.heard_at = now
         if ending == Ending.OK:
@@ -202,8 +179,6 @@
             if self.shy_ms and now >= self.shy_until and self.bad < 0.2:
                 self.desk.tell("log", f"node {self.entry.node} back, bad {self.bad:.2f}")
                 self.shy_ms = 0.0
-            if event.took_ms < 0.6 * soft_ms and len(self.out) + 2 > self.limit:
-                self.limit += 1.0 / self.limit
         elif ending in BROKEN or ending == Ending.NO_CONNECT:
             self.bad += 0.2 * (1.0 - self.bad) if ending == Ending.ERROR else 0.4 * (1.0 - self.bad)
             if self.bad > 0.45 and now >= self.shy_until:
@@ -212,8 +187,12 @@
                 self.ails = ERRING if ending == Ending.ERROR else SILENT
                 self.desk.tell("log", f"node {self.entry.node} shunned {self.shy_ms:.0f} ms, "
                                       f"bad {self.bad:.2f}")
-        if (late or ending in (Ending.TIMEOUT, Ending.FULL)) and now > self.cut_at:
-            self.limit, self.cut_at = max(2.0, min(self.limit, len(self.out) + 1) * 0.85), now + 500.0
+        # My picks at once are bounded so that answers come in half the soft deadline, whatever slows them.
+        if event.took_ms < 0.5 * soft_ms and ending == Ending.OK:
+            self.limit += (len(self.out) + 2 > self.limit) / self.limit
+        elif now - event.took_ms >= self.cut_at and ending not in (Ending.NO_CONNECT, Ending.MOOT):
+            held = 0.5 if ending == Ending.FULL else max(0.5, 0.5 * soft_ms / event.took_ms)
+            self.limit, self.cut_at = max(1.0, min(self.limit, len(self.out) + 1.0) * held), now
 
 
 class Ledger:
@@ -244,7 +223,9 @@
         self.judge = judge
         self.nodes: dict[int, Node] = {}
         self.rpcs: dict[int, Rpc] = {}
-        self.held: deque[Rpc] = deque()
+        self.held: deque[Rpc] = deque()  # no node could take them yet
+        self.asking: deque[Rpc] = deque()  # waiting for their call for bids
+        self.busy = False
         self.news: RolloutNews | None = None
         # Typical answer time: for each unit of hinted cost where costs are hinted, else for one RPC.
         self.per_unit = [m.soft_ms / 5.0 for m in start.methods]
@@ -271,7 +252,7 @@
         self.retry_held(now)
 
     def told(self, now: float, news: RolloutNews) -> None:
-        if self.news is None or news.build != self.news.build or news.phase in BACKWARDS:
+        if news.phase in BACKWARDS:
             self.one_way.clear()
         self.news = news
         self.retry_held(now)
@@ -287,21 +268,35 @@
         return self.per_unit[rpc.method] * (rpc.cost or 1.0)
 
     def call(self, now: float, rpc: Rpc) -> None:
-        """Ask every node for a bid; the last answer decides."""
-        if self.news is None or not self.nodes:
-            self.hold(now, rpc)
+        """Ask every node for a bid; the last answer decides. One call at a time: bids are never stale."""
+        self.asking.append(rpc)
+        self.tell("ask", now)
+
+    def ask(self, now: float) -> None:
+        if self.busy or not self.asking:
             return
+        self.busy, rpc = True, self.asking.popleft()
         rpc.bids, rpc.asked = [], len(self.nodes)
         typical, cost = self.typical(rpc), rpc.cost or self.per_unit[rpc.method]
         for node in self.nodes.values():
             node.tell("call", now, rpc, cost, typical, self.rate)
+        if not self.nodes:
+            self.tell("chosen", now, rpc)
 
     def bid(self, now: float, rpc: Rpc, offer: Bid | None) -> None:
         rpc.asked -= 1
         if offer:
             rpc.bids.append(offer)
-        if rpc.asked == 0 and not rpc.done:
+        if rpc.asked == 0:
+            self.tell("chosen", now, rpc)
+
+    def chosen(self, now: float, rpc: Rpc) -> None:
+        self.busy = False
+        if self.news is None or not rpc.bids:
+            self.hold(now, rpc)
+        elif not rpc.done:
             self.choose(now, rpc)
+        self.tell("ask", now)  # behind the note of this pick to its node
 
     def on_trial(self, build: int) -> bool:
         news = self.news
@@ -367,9 +362,9 @@
 
     def hold(self, now: float, rpc: Rpc) -> None:
         """No node can take it now: keep it while it can still be answered in time, else say so at once."""
-        if rpc.pending():
+        if rpc.pending() or rpc.done:
             return
-        if now + 0.5 * self.typical(rpc) > rpc.soft or len(rpc.picks) >= self.permits.max_picks:
+        if now + 0.4 * rpc.facts.soft_ms > rpc.soft or len(rpc.picks) >= self.permits.max_picks:
             self.give_up(now, rpc)
         elif rpc not in self.held:
             self.held.append(rpc)
@@ -417,7 +412,7 @@
         entry = pick[0]
         self.nodes[entry.node].tell("ended", now, event, self.typical(rpc), rpc.facts.soft_ms)
         if event.ending == Ending.OK:
-            unit = min(event.took_ms, rpc.facts.hard_ms) / (rpc.cost or 1.0)
+            unit = min(event.took_ms, 0.5 * rpc.facts.soft_ms) / (rpc.cost or 1.0)  # queues are no work
             self.per_unit[rpc.method] += 0.02 * (unit - self.per_unit[rpc.method])
             if self.exposure.one_way and rpc.key and self.on_trial(entry.build):
                 self.one_way[rpc.key] = max(entry.build, self.one_way.get(rpc.key, 0))
@@ -444,13 +439,20 @@
 
 
 class Chart:
-    """One stream's CUSUM: it starts at 0 and never falls below."""
+    """One stream's CUSUM: it starts at 0 and never falls below. No node alone may carry it far: what one node
+    has added since the chart last stood at 0 ends at `most`."""
 
     def __init__(self) -> None:
         self.level, self.count, self.up = 0.0, 0, 0
+        self.added: dict[int, float] = {}
 
-    def step(self, size: float) -> None:
+    def step(self, size: float, node: int, most: float) -> None:
+        if size > 0.0:
+            size = max(0.0, min(size, most - self.added.get(node, 0.0)))
+            self.added[node] = self.added.get(node, 0.0) + size
         self.level = max(0.0, self.level + size)
+        if self.level == 0.0:
+            self.added.clear()
         self.count, self.up = self.count + 1, self.up + (size > 0.0)
 
 
@@ -504,15 +506,19 @@
         # My failure share on the earlier build is the before-rate, floored; below 20 outcomes the floor.
         if not (late and cold):  # a cold node is slow whatever its build; errors count at once
             before = max(FLOOR, failed / count) if count >= 20 else FLOOR
-            self.step(now, method, "failures", failure_step(failure, before, 0.15), before)
+            self.step(now, entry, method, "failures", failure_step(failure, before, 0.15), before)
         if not cold and count >= 20 and (ending == Ending.OK or late):
             mean = paces / count
             spread = max(0.4, math.sqrt(max(0.0, squares / count - mean * mean)))
-            self.step(now, method, "speed", speed_step(pace - mean, spread, 0.6), mean)
+            self.step(now, entry, method, "speed", speed_step(pace - mean, spread, 0.6), mean)
 
-    def step(self, now: float, method: int, stream: str, size: float, before: float) -> None:
+    def step(self, now: float, entry: NodeEntry, method: int, stream: str, size: float,
+             before: float) -> None:
         news, chart = self.news, self.charts.setdefault((method, stream), Chart())
-        chart.step(size)
+        # One bad node is not a bad build: of several trial nodes, two thirds must speak against it; where
+        # they are many, a few, since this marshal may see little of each.
+        peers = sum(one.build == entry.build for one in self.ready)
+        chart.step(size, entry.node, max(3.2, 1.5 * self.threshold / max(1, peers)))
         if news and chart.level >= self.threshold and self.crossed is None:
             self.crossed = news.build
             self.acts.append(LogLine(f"back {news.build}: method {method} {stream} {chart.level:.1f} of "
