--- a/brookreach/decide.py
+++ b/brookreach/decide.py
@@ -121,7 +121,9 @@
     def renew(self, entry: NodeEntry) -> None:
         self.entry = entry
         self.out: dict[tuple[int, int], tuple[float, float]] = {}  # pick: sent at, cost
-        self.slow, self.usual_out, self.bad, self.shy_until, self.shy_ms = 1.0, 0.0, 0.0, 0.0, 0.0
+        # A node that comes cold may run a build that needs more work: twice until its answers tell.
+        self.slow = 2.0 if entry.started_ms else 1.0
+        self.usual_out, self.bad, self.shy_until, self.shy_ms = 0.0, 0.0, 0.0, 0.0
         self.ails = WELL
         self.limit, self.cut_at, self.heard_at = 8.0, 0.0, 0.0
         self.sent, self.carried = Ring(self.guards.fall_ms, 20), Ring(CARRIED_MS, 16)
@@ -144,8 +146,9 @@
         fit = entry.state == NodeState.READY and len(self.out) < self.limit
         if fit and warm < 1.0:
             # All marshals keep to their share of what warm nodes carry, so that together they stay inside.
-            budget = 0.55 * self.guards.fall_multiple * warm * rate * entry.size * self.guards.fall_ms
-            fit = self.sent.total(now) + cost <= budget
+            # Work that takes longer here counts for more: a build may need several times the work.
+            budget = 0.4 * self.guards.fall_multiple * warm * rate * entry.size * self.guards.fall_ms
+            fit = (self.sent.total(now) + cost) * max(1.0, self.slow) <= budget
         if not fit:
             self.desk.tell("bid", now, rpc, None)
             return
@@ -173,7 +176,7 @@
         if ending in (Ending.OK, Ending.ERROR, Ending.FULL):
             self.heard_at = now
         if ending == Ending.OK:
-            self.slow += 0.1 * (min(20.0, event.took_ms / typical) - self.slow)
+            self.slow += 0.1 * (min(20.0, event.took_ms / typical * self.warmth(now)) - self.slow)
             self.carried.add(now, cost)
             self.bad *= 0.8
             if self.shy_ms and now >= self.shy_until and self.bad < 0.2:
@@ -190,7 +193,7 @@
         # My picks at once are bounded so that answers come in half the soft deadline, whatever slows them.
         if event.took_ms < 0.5 * soft_ms and ending == Ending.OK:
             self.limit += (len(self.out) + 2 > self.limit) / self.limit
-        elif now - event.took_ms >= self.cut_at and ending not in (Ending.NO_CONNECT, Ending.MOOT):
+        elif now - event.took_ms >= self.cut_at and (ending == Ending.FULL or event.took_ms >= 0.5 * soft_ms):
             held = 0.5 if ending == Ending.FULL else max(0.5, 0.5 * soft_ms / event.took_ms)
             self.limit, self.cut_at = max(1.0, min(self.limit, len(self.out) + 1.0) * held), now
 
