--- a/brookreach/decide.py
+++ b/brookreach/decide.py
@@ -230,8 +230,9 @@
         self.asking: deque[Rpc] = deque()  # waiting for their call for bids
         self.busy = False
         self.news: RolloutNews | None = None
-        # Typical answer time: for each unit of hinted cost where costs are hinted, else for one RPC.
-        self.per_unit = [m.soft_ms / 5.0 for m in start.methods]
+        # A method's usual answer time, and the usual hint of its cost by which one RPC's is scaled.
+        self.usual_ms = [m.soft_ms / 5.0 for m in start.methods]
+        self.usual_cost: list[float | None] = [None] * len(start.methods)
         self.entries: dict[int, NodeEntry] = {}
         self.rate = 0.0  # what warm nodes carry: cost a ms and unit of size
         self.copies, self.taken = Ring(5000.0, 10), Ring(5000.0, 10)
@@ -264,11 +265,15 @@
         rpc = self.rpcs[event.rpc] = Rpc(now, event, self.methods[event.method])
         self.ledger.ring(rpc.method, 0).add(now)
         self.taken.add(now)
+        if rpc.cost:
+            usual = self.usual_cost[rpc.method] or rpc.cost
+            self.usual_cost[rpc.method] = usual + 0.02 * (rpc.cost - usual)
         self.acts.append(SetTimer(max(0.0, rpc.end - now - 6.0), 4 * rpc.id + RPC_END))
         self.call(now, rpc)
 
     def typical(self, rpc: Rpc) -> float:
-        return self.per_unit[rpc.method] * (rpc.cost or 1.0)
+        usual = self.usual_cost[rpc.method]
+        return self.usual_ms[rpc.method] * (rpc.cost / usual if rpc.cost and usual else 1.0)
 
     def call(self, now: float, rpc: Rpc) -> None:
         """Ask every node for a bid; the last answer decides. One call at a time: bids are never stale."""
@@ -280,7 +285,7 @@
             return
         self.busy, rpc = True, self.asking.popleft()
         rpc.bids, rpc.asked = [], len(self.nodes)
-        typical, cost = self.typical(rpc), rpc.cost or self.per_unit[rpc.method]
+        typical, cost = self.typical(rpc), rpc.cost or self.usual_ms[rpc.method]
         for node in self.nodes.values():
             node.tell("call", now, rpc, cost, typical, self.rate)
         if not self.nodes:
@@ -353,7 +358,7 @@
         return min(drawn, key=lambda b: (b[3] * (1.0 if b[0].zone == self.place.zone else far), b[0].node))[0]
 
     def send(self, now: float, rpc: Rpc, entry: NodeEntry) -> None:
-        nth, cost = len(rpc.picks), rpc.cost or self.per_unit[rpc.method]
+        nth, cost = len(rpc.picks), rpc.cost or self.usual_ms[rpc.method]
         rpc.picks.append([entry, now, None])
         if self.on_trial(entry.build):
             self.ledger.ring(rpc.method, entry.build).add(now)
@@ -415,8 +420,8 @@
         entry = pick[0]
         self.nodes[entry.node].tell("ended", now, event, self.typical(rpc), rpc.facts.soft_ms)
         if event.ending == Ending.OK:
-            unit = min(event.took_ms, 0.5 * rpc.facts.soft_ms) / (rpc.cost or 1.0)  # queues are no work
-            self.per_unit[rpc.method] += 0.02 * (unit - self.per_unit[rpc.method])
+            work = min(event.took_ms, 0.5 * rpc.facts.soft_ms)  # queues are no work
+            self.usual_ms[rpc.method] += 0.02 * (work - self.usual_ms[rpc.method])
             if self.exposure.one_way and rpc.key and self.on_trial(entry.build):
                 self.one_way[rpc.key] = max(entry.build, self.one_way.get(rpc.key, 0))
         self.judge.tell("outcome", now, entry, rpc.method, pick[1], event.ending, event.took_ms,
