--- a/brookreach/decide.py
+++ b/brookreach/decide.py
@@ -364,6 +364,7 @@
             self.ledger.ring(rpc.method, entry.build).add(now)
         self.nodes[entry.node].tell("took", now, rpc.id, nth, cost)
         self.acts.append(Pick(rpc.id, entry.node, rpc.end - now - 5.0))
+        self.tell("retry_held", now)
         if nth == 0 and self.permits.second_copies and rpc.facts.repeat == Repeat.IDEMPOTENT:
             wait = max(3.0 * self.typical(rpc), 0.25 * rpc.facts.soft_ms)
             self.acts.append(SetTimer(wait, 4 * rpc.id + RPC_COPY))
@@ -378,10 +379,11 @@
             self.held.append(rpc)
 
     def retry_held(self, now: float) -> None:
-        for _ in range(len(self.held)):
-            rpc = self.held.popleft()
-            if not rpc.done:
-                self.call(now, rpc)
+        """Try one that waits; each that finds a node brings on the next: a long queue costs little."""
+        while self.held and self.held[0].done:
+            self.held.popleft()
+        if self.held:
+            self.call(now, self.held.popleft())
 
     def give_up(self, now: float, rpc: Rpc) -> None:
         if may_push_back(rpc):
@@ -443,6 +445,8 @@
     def beat(self, now: float) -> None:
         for node in self.nodes.values():
             node.tell("beat", now)
+        for rpc in [one for one in self.held if now + 0.4 * one.facts.soft_ms > one.soft and not one.done]:
+            self.give_up(now, rpc)
         self.retry_held(now)
 
 
@@ -597,9 +601,6 @@
         self.cast, self.cast_at, self.sure = key, now, False
         self.acts.append(Vote(want, news.stage, news.build))
 
-    def beat(self, now: float) -> None:
-        self.decide(now)
-
 
 class Marshal:
     """One life of one instance: the loop that empties the inboxes."""
@@ -634,7 +635,7 @@
             case TimerRang(token=token):
                 if token % 4 == BEAT:
                     desk.tell("beat", now)
-                    judge.tell("beat", now)
+                    judge.tell("decide", now)
                     self.acts.append(SetTimer(BEAT_MS, BEAT))
                 else:
                     desk.tell("rang", now, token // 4, token % 4)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -111,3 +111,38 @@
         world.say("serves again")
         world.quietly(250)
         self.compare("node_returns", world.trace)
+
+    def test_a_release_of_held_rpcs_keeps_the_bounds(self):
+        world = plain()
+        world.nodes()
+        for _ in range(40):
+            world.rpc()
+        world.trace = []
+        world.say("40 RPCs wait; one node comes back: it takes its bound of 8, the rest wait on")
+        world.nodes(node(1))
+        self.compare("held", world.trace)
+
+    def test_fast_errors_do_not_lift_a_bound(self):
+        world = plain(node(1))
+        for _ in range(4):
+            world.end(world.rpc(), ifc.Ending.ERROR, took=1.0, nth=0)
+        world.wait(5000.0)
+        world.trace = []
+        world.say("after errors that came fast, 40 RPCs at once: no more than the bound of 8")
+        for _ in range(40):
+            world.rpc()
+        self.compare("bound", [t for t in world.trace if " pick " in t])
+
+    def test_cold_node_of_a_slow_build_gets_less(self):
+        for took in (100.0, 400.0):
+            world = plain()
+            world.quietly(300)
+            world.nodes(node(9, started=world.now - 1.0))
+            for _ in range(20):
+                world.wait(20.0)
+                rpc = world.rpc()
+                if rpc in world.open:
+                    world.end(rpc, took=took)
+            world.trace = [t for t in world.trace if " pick " in t and t.endswith("-> 9")]
+            world.say(f"picks in 0.4 s at a cold node that answers in {took:.0f} ms; warm ones took 100 ms")
+            self.compare(f"cold_slow_{took:.0f}", world.trace[-4:] + [f"{len(world.trace) - 1} in all"])
