--- a/brookreach/decide.py
+++ b/brookreach/decide.py
@@ -171,8 +171,7 @@
         self.usual_out += 0.05 * (len(self.out) - 1 - self.usual_out)
 
     def ended(self, now: float, event: PickEnded, typical: float, soft_ms: float) -> None:
-        _, cost = self.out.pop((event.rpc, event.nth), (now, 0.0))
-        ending = event.ending
+        ending, (_, cost) = event.ending, self.out.pop((event.rpc, event.nth), (now, 0.0))
         if ending in (Ending.OK, Ending.ERROR, Ending.FULL):
             self.heard_at = now
         if ending == Ending.OK:
@@ -578,9 +577,10 @@
         if voting.gate == Gate.CLOCK:
             return Verdict.HOLD if doubt else Verdict.NONE
         starts = [entry.started_ms for entry in self.ready if entry.build == news.build]
-        if not starts or doubt or now < max(starts) + WARM_UP_MS:
+        if not starts or doubt or now < max(starts) + WARM_UP_MS + BEAT_MS:  # a beat for late clocks
             return Verdict.NONE
-        if len(starts) < round(self.shares[news.stage] * self.places) and now < self.stage_at + 10_000.0:
+        awaited = math.ceil(self.shares[news.stage] * self.places - 0.01)
+        if len(starts) < awaited and now < self.stage_at + 10_000.0:
             return Verdict.NONE  # machines of this stage are still to come
         return Verdict.ON if self.seen >= 20 or now >= max(starts) + 4000.0 else Verdict.NONE
 
