Draw a few nodes before asking for bids; no beat for each node

Two nodes (four where crossing zones is priced) are drawn by what they can do, twelve more when none of these can take it. Paid for by: one way of counting exposure, simpler waits after a lost vote, no usual_out. Also guards against lists of any length; it could harm where most nodes are sick: then twelve draws may find none that is well.

--- a/brookreach/decide.py
+++ b/brookreach/decide.py
@@ -14,15 +14,15 @@
 import random
 from collections import deque
 from dataclasses import replace
+from itertools import accumulate
 from typing import Any
 
 from brookreach.interface import (
     Abort, Action, Ending, Event, Gate, Group, Guards, ListKind, LogLine, Method, NodeEntry, NodeList,
     NodeState, Phase, Pick, PickEnded, PushBack, Repeat, RolloutNews, RpcGone, RpcTaken, SetTimer, Start,
-    TimerRang, Verdict, Vote,
-)
+    TimerRang, Verdict, Vote)
 
-Bid = tuple[NodeEntry, int, float, float]  # node, how sick, what it can do, expected wait
+Bid = tuple[NodeEntry, int, float]  # node, how sick, expected wait
 BACKWARDS = (Phase.GOING_BACK, Phase.WITHDRAWN)
 NEVER_RAN = (Ending.FULL, Ending.NO_CONNECT, Ending.MOOT)
 BROKEN = (Ending.ERROR, Ending.TIMEOUT, Ending.RESET)
@@ -30,6 +30,7 @@
 FLOOR = 0.02  # of the before-rate
 WARM_UP_MS = 3000.0
 CARRIED_MS = 4000.0  # over this time a warm node shows what it carries
+FEW, MORE = 2, 12  # nodes drawn for an RPC at first, and when none of the few can take it
 RPC_END, RPC_COPY, BEAT = 0, 1, 2  # what a timer is for; its token is 4 x RPC + one of these
 BEAT_MS = 250.0
 
@@ -58,7 +59,7 @@
 
 
 class Part:
-    """An actor; `due` is the loop's order of work."""
+    """An actor with an inbox."""
 
     def __init__(self, due: Due):
         self.due = due
@@ -72,17 +73,14 @@
 class Rpc:
     """What the desk holds of one RPC; `picks` are [node entry, sent at, ending or None]."""
 
-    __slots__ = ("id", "method", "facts", "soft", "end", "cost", "key", "picks", "done", "bids", "asked")
-
     def __init__(self, now: float, event: RpcTaken, facts: Method):
         self.id, self.method, self.facts = event.rpc, event.method, facts
         self.cost, self.key = event.cost_ms, event.key
-        stretch = facts.soft_stretch * (event.cost_ms or 0.0)
-        self.end = event.deadline_ms
-        self.soft = min(now + min(facts.soft_ms + stretch, facts.hard_ms), self.end)
+        self.end, soft = event.deadline_ms, facts.soft_ms + facts.soft_stretch * (event.cost_ms or 0.0)
+        self.soft = min(now + min(soft, facts.hard_ms), self.end)
         self.picks: list[list[Any]] = []
         self.bids: list[Bid] = []
-        self.asked, self.done = 0, False
+        self.asked, self.drawn, self.done = 0, FEW, False
 
     def pending(self) -> bool:
         return any(pick[2] is None for pick in self.picks)
@@ -110,39 +108,47 @@
         rpc.facts.repeat == Repeat.TOKENED and rpc.facts.group == Group.ALL)
 
 
+def warmth(entry: NodeEntry, now: float, guards: Guards) -> float:
+    """The share of its capacity that a node has at least: it rises evenly at the slowest."""
+    age = now - entry.started_ms if entry.started_ms else math.inf
+    return min(1.0, guards.cold_share + (1.0 - guards.cold_share) * age / guards.warm_ms)
+
+
+class Side:
+    """Nodes that an RPC may go to, with running sums of what they can do: it is drawn by these."""
+
+    def __init__(self, able: list[tuple[NodeEntry, float]]):
+        self.entries, self.sums = [e for e, _ in able], list(accumulate(can for _, can in able))
+
+    def draw(self, chance: random.Random, most: int) -> list[NodeEntry]:
+        return chance.choices(self.entries, cum_weights=self.sums, k=most) if self.entries else []
+
+
 class Node(Part):
     """One node as this marshal sees it: its picks, its speed, its health, how cold it may be."""
 
     def __init__(self, due: Due, desk: Desk, entry: NodeEntry, guards: Guards):
         super().__init__(due)
         self.desk, self.guards = desk, guards
+        self.out: dict[tuple[int, int], float] = {}  # pick: sent at
         self.renew(entry)
 
     def renew(self, entry: NodeEntry) -> None:
         self.entry = entry
-        self.out: dict[tuple[int, int], tuple[float, float]] = {}  # pick: sent at, cost
         # A node that comes cold may run a build that needs more work: twice until its answers tell.
         self.slow = 2.0 if entry.started_ms else 1.0
-        self.usual_out, self.bad, self.shy_until, self.shy_ms = 0.0, 0.0, 0.0, 0.0
-        self.ails = WELL
+        self.bad, self.shy_until, self.shy_ms, self.ails = 0.0, 0.0, 0.0, WELL
         self.limit, self.cut_at, self.heard_at = 8.0, 0.0, 0.0
-        self.sent, self.carried = Ring(self.guards.fall_ms, 20), Ring(CARRIED_MS, 16)
+        self.sent = Ring(self.guards.fall_ms, 20)
 
     def listed(self, entry: NodeEntry) -> None:
         if (entry.started_ms, entry.build) != (self.entry.started_ms, self.entry.build):
-            out = self.out
             self.renew(entry)
-            self.out = out
         self.entry = entry
 
-    def warmth(self, now: float) -> float:
-        """The share of its capacity that it has at least: it rises evenly at the slowest."""
-        age = now - self.entry.started_ms if self.entry.started_ms else math.inf
-        return min(1.0, self.guards.cold_share + (1.0 - self.guards.cold_share) * age / self.guards.warm_ms)
-
     def call(self, now: float, rpc: Rpc, cost: float, typical: float, rate: float) -> None:
         """Answer the desk's call for bids: none when it must not or cannot take this RPC."""
-        entry, warm = self.entry, self.warmth(now)
+        entry, warm = self.entry, warmth(self.entry, now, self.guards)
         fit = entry.state == NodeState.READY and len(self.out) < self.limit
         if fit and warm < 1.0:
             # All marshals keep to their share of what warm nodes carry, so that together they stay inside.
@@ -150,36 +156,30 @@
             budget = 0.4 * self.guards.fall_multiple * warm * rate * entry.size * self.guards.fall_ms
             fit = (self.sent.total(now) + cost) * max(1.0, self.slow) <= budget
         if not fit:
-            self.desk.tell("bid", now, rpc, None)
+            self.desk.tell("bid", now, rpc)
             return
-        oldest = next(iter(self.out.values()))[0] if self.out else now
+        oldest = next(iter(self.out.values()), now)
         silent = now - max(oldest, self.heard_at) > 3.0 * typical * max(1.0, self.slow) + 200.0
         shy = now < self.shy_until or (self.shy_ms > 0.0 and len(self.out) > 0)
         sick = SILENT if silent else self.ails if shy else WELL
-        wait = typical * self.slow * (1 + len(self.out)) / (1 + self.usual_out) / warm
-        # What it can do goes by size and warmth: slowness shows in the wait, and a slow build must not hide.
-        self.desk.tell("bid", now, rpc, (entry, sick, warm * entry.size, wait))
-
-    def beat(self, now: float) -> None:
-        """Tell the desk what a node of this size carries, once it has been warm for all of that time."""
-        if self.entry.state == NodeState.READY and self.warmth(now - CARRIED_MS) >= 1.0:
-            self.desk.tell("carries", self.carried.total(now, inner=True) / CARRIED_MS / self.entry.size)
+        wait = typical * self.slow * (1 + len(self.out)) / warm
+        self.desk.tell("bid", now, rpc, (entry, sick, wait))
 
     def took(self, now: float, rpc: int, nth: int, cost: float) -> None:
-        self.out[rpc, nth] = now, cost
+        self.out[rpc, nth] = now
         self.sent.add(now, cost)
-        self.usual_out += 0.05 * (len(self.out) - 1 - self.usual_out)
 
     def ended(self, now: float, event: PickEnded, typical: float, soft_ms: float) -> None:
-        ending, (_, cost) = event.ending, self.out.pop((event.rpc, event.nth), (now, 0.0))
+        ending = event.ending
+        self.out.pop((event.rpc, event.nth), None)
         if ending in (Ending.OK, Ending.ERROR, Ending.FULL):
             self.heard_at = now
         if ending == Ending.OK:
-            self.slow += 0.1 * (min(20.0, event.took_ms / typical * self.warmth(now)) - self.slow)
-            self.carried.add(now, cost)
+            self.slow += 0.1 * (min(20.0, event.took_ms / typical * warmth(self.entry, now, self.guards))
+                                - self.slow)
             self.bad *= 0.8
             if self.shy_ms and now >= self.shy_until and self.bad < 0.2:
-                self.desk.tell("log", f"node {self.entry.node} back, bad {self.bad:.2f}")
+                self.desk.acts.append(LogLine(f"node {self.entry.node} back, bad {self.bad:.2f}"))
                 self.shy_ms = 0.0
         elif ending in BROKEN or ending == Ending.NO_CONNECT:
             self.bad += 0.2 * (1.0 - self.bad) if ending == Ending.ERROR else 0.4 * (1.0 - self.bad)
@@ -187,8 +187,8 @@
                 self.shy_ms = min(8000.0, max(500.0, 2.0 * self.shy_ms))
                 self.shy_until = now + self.shy_ms
                 self.ails = ERRING if ending == Ending.ERROR else SILENT
-                self.desk.tell("log", f"node {self.entry.node} shunned {self.shy_ms:.0f} ms, "
-                                      f"bad {self.bad:.2f}")
+                self.desk.acts.append(LogLine(
+                    f"node {self.entry.node} shunned {self.shy_ms:.0f} ms, bad {self.bad:.2f}"))
         # My picks at once are bounded so that answers come in half the soft deadline, whatever slows them.
         if event.took_ms < 0.5 * soft_ms and ending == Ending.OK:
             self.limit += (len(self.out) + 2 > self.limit) / self.limit
@@ -197,21 +197,6 @@
             self.limit, self.cut_at = max(1.0, min(self.limit, len(self.out) + 1.0) * held), now
 
 
-class Ledger:
-    """Exposure: picks at builds on trial against RPCs taken, per method where that is told."""
-
-    def __init__(self, window_ms: float, by_method: bool):
-        self.window_ms, self.by_method = window_ms, by_method
-        self.rings: dict[tuple[int, int], Ring] = {}  # by method and build; build 0: RPCs taken
-
-    def ring(self, method: int, build: int) -> Ring:
-        return self.rings.setdefault((method if self.by_method else 0, build), Ring(self.window_ms))
-
-    def room(self, now: float, method: int, build: int, cap: float, free: float) -> bool:
-        taken = self.ring(method, 0).total(now, inner=True)
-        return cap > 0.0 and self.ring(method, build).total(now) + 1.0 <= free + cap * taken
-
-
 class Desk(Part):
     """Places RPCs: calls for bids, picks by two random choices, sends again, pushes back, aborts."""
 
@@ -220,9 +205,8 @@
         self.acts, self.methods, self.place = out, start.methods, start.place
         self.permits, self.prices, self.guards = start.permits, start.prices, start.guards
         self.chance = random.Random(start.seed)
-        self.ledger = Ledger(start.exposure.window_ms, start.exposure.by_method)
-        self.exposure, self.began = start.exposure, now
-        self.judge = judge
+        self.exposure, self.began, self.judge = start.exposure, now, judge
+        self.rings: dict[tuple[int, int], Ring] = {}  # by method and build; build 0: RPCs taken
         self.nodes: dict[int, Node] = {}
         self.rpcs: dict[int, Rpc] = {}
         self.held: deque[Rpc] = deque()  # no node could take them yet
@@ -233,37 +217,41 @@
         self.usual_ms = [m.soft_ms / 5.0 for m in start.methods]
         self.usual_cost: list[float | None] = [None] * len(start.methods)
         self.entries: dict[int, NodeEntry] = {}
-        self.rate = 0.0  # what warm nodes carry: cost a ms and unit of size
-        self.copies, self.taken = Ring(5000.0, 10), Ring(5000.0, 10)
+        # By build on trial, 0 for all earlier ones: the ready nodes, and the near ones again.
+        self.field: dict[int, tuple[Side, Side]] = {}
+        self.survey_at, self.warm_size = now, 0.0
+        # What warm nodes carry: cost a ms and unit of size.
+        self.rate, self.carried = 0.0, Ring(CARRIED_MS, 16)
+        self.spare = 1.0  # second copies that may be sent now: one for ten RPCs
         self.one_way: dict[int, int] = {}
 
-    def log(self, text: str) -> None:
-        self.acts.append(LogLine(text))
-
     def listing(self, now: float, event: NodeList) -> None:
         if event.kind == ListKind.FAILED:
             return
+        changed = {entry.node: entry for entry in event.entries}
         if event.kind != ListKind.DELTA:  # what a complete list leaves out has been removed
-            self.entries = {key: replace(old, state=NodeState.GONE) for key, old in self.entries.items()}
-        self.entries.update((entry.node, entry) for entry in event.entries)
-        for key, entry in self.entries.items():
-            if key in self.nodes:
-                self.nodes[key].tell("listed", entry)
+            gone = {key: replace(old, state=NodeState.GONE) for key, old in self.entries.items()}
+            changed = gone | changed
+        self.entries |= changed
+        for entry in changed.values():
+            if entry.node in self.nodes:
+                self.nodes[entry.node].tell("listed", entry)
             else:
-                self.nodes[key] = Node(self.due, self, entry, self.guards)
+                self.nodes[entry.node] = Node(self.due, self, entry, self.guards)
+        self.survey_at = now
         self.judge.tell("listed", [e for e in self.entries.values() if e.state == NodeState.READY])
         self.retry_held(now)
 
     def told(self, now: float, news: RolloutNews) -> None:
         if news.phase in BACKWARDS:
             self.one_way.clear()
-        self.news = news
+        self.news, self.survey_at = news, now
         self.retry_held(now)
 
     def taken_in(self, now: float, event: RpcTaken) -> None:
         rpc = self.rpcs[event.rpc] = Rpc(now, event, self.methods[event.method])
-        self.ledger.ring(rpc.method, 0).add(now)
-        self.taken.add(now)
+        self.ring(rpc.method, 0).add(now)
+        self.spare = min(3.0, self.spare + 0.1)
         if rpc.cost:
             usual = self.usual_cost[rpc.method] or rpc.cost
             self.usual_cost[rpc.method] = usual + 0.02 * (rpc.cost - usual)
@@ -275,92 +263,115 @@
         return self.usual_ms[rpc.method] * (rpc.cost / usual if rpc.cost and usual else 1.0)
 
     def call(self, now: float, rpc: Rpc) -> None:
-        """Ask every node for a bid; the last answer decides. One call at a time: bids are never stale."""
+        """Draw a few nodes and ask them for bids, more when none of them can. One call at a time: bids are
+        never stale."""
+        rpc.drawn = FEW
         self.asking.append(rpc)
         self.tell("ask", now)
 
+    def survey(self, now: float) -> None:
+        """Sort the ready nodes by side; anew after changes and, while any are cold, each beat. What a node
+        can do goes by size and warmth: slowness shows in its wait, and a slow build must not hide."""
+        if now < self.survey_at or self.news is None:
+            return
+        able: dict[int, list[tuple[NodeEntry, float]]] = {}
+        self.survey_at, self.warm_size = math.inf, 0.0
+        for entry in self.entries.values():
+            if entry.state == NodeState.READY:
+                warm = warmth(entry, now, self.guards)
+                build = entry.build if self.on_trial(entry.build) else 0
+                able.setdefault(build, []).append((entry, warm * entry.size))
+                if warmth(entry, now - CARRIED_MS, self.guards) < 1.0:
+                    self.survey_at = now + BEAT_MS
+                else:
+                    self.warm_size += entry.size
+        here = self.place.zone if self.prices.cross_zone else None
+        self.field = {build: (Side(some), Side([one for one in some if one[0].zone == here]))
+                      for build, some in sorted(able.items())}
+
+    def sides(self, now: float, rpc: Rpc) -> list[tuple[Side, Side]]:
+        """What the rules leave to this RPC now; further picks go to the earlier build while they can."""
+        floor = self.one_way.get(rpc.key, 0) if rpc.key else 0
+        sides = [both for build, both in self.field.items() if build == 0 or self.exposed(now, rpc, build)]
+        if not rpc.picks and not floor:
+            return sides
+        copies, tried = self.permits.second_copies, {pick[0].node for pick in rpc.picks}
+        fit = [[e for e in side.entries if e.build >= floor and may_go(rpc, e, now, copies)]
+               for side, _ in sides]
+        fit = [side for side in ([e for e in some if e.node not in tried] for some in fit) if side] or fit
+        narrow = [Side([(e, e.size * warmth(e, now, self.guards)) for e in side]) for side in fit if side]
+        return [(side, Side([])) for side in (narrow[:1] if rpc.picks else narrow)]
+
     def ask(self, now: float) -> None:
         if self.busy or not self.asking:
             return
         self.busy, rpc = True, self.asking.popleft()
-        rpc.bids, rpc.asked = [], len(self.nodes)
+        self.survey(now)
+        sides = self.sides(now, rpc)
+        if rpc.drawn == FEW and sides:
+            sides = self.chance.choices(sides, weights=[side.sums[-1] for side, _ in sides])
+        drawn = [entry for both in sides for side in both for entry in side.draw(self.chance, rpc.drawn)]
+        few = dict.fromkeys(entry.node for entry in drawn)
+        rpc.bids, rpc.asked = [], len(few)
         typical, cost = self.typical(rpc), rpc.cost or self.usual_ms[rpc.method]
-        for node in self.nodes.values():
-            node.tell("call", now, rpc, cost, typical, self.rate)
-        if not self.nodes:
+        for number in few:
+            self.nodes[number].tell("call", now, rpc, cost, typical, self.rate)
+        if not few:
             self.tell("chosen", now, rpc)
 
-    def bid(self, now: float, rpc: Rpc, offer: Bid | None) -> None:
+    def bid(self, now: float, rpc: Rpc, *offer: Bid) -> None:
         rpc.asked -= 1
-        if offer:
-            rpc.bids.append(offer)
+        rpc.bids.extend(offer)
         if rpc.asked == 0:
             self.tell("chosen", now, rpc)
 
     def chosen(self, now: float, rpc: Rpc) -> None:
+        """Of the nodes that could, the one with the shortest wait. A build on trial that errs keeps its
+        picks, or it would starve the charts; the exposure cap bounds the harm. A node that does not answer
+        loses them on either side. Where all that were drawn are sick, they are used."""
         self.busy = False
-        if self.news is None or not rpc.bids:
+        well = [b for b in rpc.bids if b[1] < (SILENT if self.on_trial(b[0].build) else ERRING)]
+        if rpc.done:
+            pass
+        elif not well and rpc.drawn == FEW and self.news is not None:
+            rpc.drawn = MORE
+            self.asking.appendleft(rpc)
+        elif rpc.bids:
+            far = 1.0 + 8.0 * self.prices.cross_zone
+            some = (well or rpc.bids)[:2 * FEW]
+            self.send(now, rpc, min(some, key=lambda b: (
+                b[2] * (1.0 if b[0].zone == self.place.zone else far), b[0].node))[0])
+        else:
             self.hold(now, rpc)
-        elif not rpc.done:
-            self.choose(now, rpc)
         self.tell("ask", now)  # behind the note of this pick to its node
 
     def on_trial(self, build: int) -> bool:
         news = self.news
-        assert news is not None  # nothing is placed before the first news
-        return build > news.build or (build == news.build and news.phase != Phase.RELEASED)
+        return news is None or build > news.build or (build == news.build and news.phase != Phase.RELEASED)
+
+    def ring(self, method: int, build: int) -> Ring:
+        key = (method if self.exposure.by_method else 0, build)
+        if key not in self.rings:
+            self.rings[key] = Ring(self.exposure.window_ms)
+        return self.rings[key]
 
     def exposed(self, now: float, rpc: Rpc, build: int) -> bool:
         """Whether the exposure rule lets this RPC go to this build on trial now."""
         news = self.news
         assert news is not None
-        stage, cap = news.stage, news.cap
-        if build > news.build:
-            stage, cap = 0, self.exposure.caps[0]
+        stage, cap = (news.stage, news.cap) if build == news.build else (0, self.exposure.caps[0])
         if stage < self.exposure.closed_stages and rpc.facts.repeat != Repeat.IDEMPOTENT:
             return False
         # A life that has just begun can't know what the one before it sent: its free picks count as spent.
         free = self.exposure.free if now - self.began > self.exposure.window_ms else 0.0
-        return self.ledger.room(now, rpc.method, build, cap, free)
-
-    def choose(self, now: float, rpc: Rpc) -> None:
-        floor = self.one_way.get(rpc.key, 0) if self.exposure.one_way and rpc.key else 0
-        copies = self.permits.second_copies
-        bids = [b for b in rpc.bids if b[0].build >= floor and may_go(rpc, b[0], now, copies)]
-        tried = {pick[0].node for pick in rpc.picks}
-        bids = [b for b in bids if b[0].node not in tried] or bids
-        trial = [b for b in bids if self.on_trial(b[0].build)]
-        earlier = [b for b in bids if not self.on_trial(b[0].build)]
-        allowed = {build for build in sorted({b[0].build for b in trial}) if self.exposed(now, rpc, build)}
-        trial = [b for b in trial if b[0].build in allowed]
-        # A build on trial that errs keeps its picks, or it would starve the charts that are to judge it; the
-        # exposure cap bounds the harm. A node that does not answer loses them on either side.
-        well = [[b for b in side if b[1] < worst] for side, worst in ((trial, SILENT), (earlier, ERRING))]
-        if 2 * (len(well[0]) + len(well[1])) >= len(trial) + len(earlier):
-            trial, earlier = (well[0], well[1]) if well[0] or well[1] else (trial, earlier)
-        if rpc.picks and earlier:
-            trial = []  # further picks go to the earlier build
-        if not trial and not earlier:
-            self.hold(now, rpc)
-            return
-        mass = sum(b[2] for b in trial)
-        side = trial if self.chance.random() * (mass + sum(b[2] for b in earlier)) < mass else earlier
-        self.send(now, rpc, self.two_choices(side or trial or earlier))
-
-    def two_choices(self, side: list[Bid]) -> NodeEntry:
-        """Two random choices, by what each can do; near ones too where crossing zones is priced."""
-        drawn = self.chance.choices(side, weights=[b[2] for b in side], k=2)
-        near = [b for b in side if b[0].zone == self.place.zone]
-        if near and self.prices.cross_zone:
-            drawn += self.chance.choices(near, weights=[b[2] for b in near], k=2)
-        far = 1.0 + 8.0 * self.prices.cross_zone
-        return min(drawn, key=lambda b: (b[3] * (1.0 if b[0].zone == self.place.zone else far), b[0].node))[0]
+        taken = self.ring(rpc.method, 0).total(now, inner=True)
+        return cap > 0.0 and self.ring(rpc.method, build).total(now) + 1.0 <= free + cap * taken
 
     def send(self, now: float, rpc: Rpc, entry: NodeEntry) -> None:
         nth, cost = len(rpc.picks), rpc.cost or self.usual_ms[rpc.method]
         rpc.picks.append([entry, now, None])
         if self.on_trial(entry.build):
-            self.ledger.ring(rpc.method, entry.build).add(now)
+            self.ring(rpc.method, entry.build).add(now)
         self.nodes[entry.node].tell("took", now, rpc.id, nth, cost)
         self.acts.append(Pick(rpc.id, entry.node, rpc.end - now - 5.0))
         self.tell("retry_held", now)
@@ -386,8 +397,7 @@
 
     def give_up(self, now: float, rpc: Rpc) -> None:
         if may_push_back(rpc):
-            stay = min(self.permits.come_back_ms, 500.0) if self.permits.come_back else 0.0
-            self.acts.append(PushBack(rpc.id, stay))
+            self.acts.append(PushBack(rpc.id, min(self.permits.come_back_ms, 500.0) * self.permits.come_back))
         else:
             self.acts.append(Abort(rpc.id))
         self.finish(rpc)
@@ -403,9 +413,8 @@
             return
         if what == RPC_END:
             self.give_up(now, rpc)
-        elif (rpc.pending() and len(rpc.picks) == 1
-              and self.copies.total(now) < 1.0 + 0.1 * self.taken.total(now)):
-            self.copies.add(now)
+        elif rpc.pending() and len(rpc.picks) == 1 and self.spare >= 1.0:
+            self.spare -= 1.0
             self.call(now, rpc)
 
     def gone(self, now: float, event: RpcGone) -> None:
@@ -423,12 +432,13 @@
         if event.ending == Ending.OK:
             work = min(event.took_ms, 0.5 * rpc.facts.soft_ms)  # queues are no work
             self.usual_ms[rpc.method] += 0.02 * (work - self.usual_ms[rpc.method])
+            if warmth(entry, now - CARRIED_MS, self.guards) >= 1.0:
+                self.carried.add(now, rpc.cost or self.usual_ms[rpc.method])
             if self.exposure.one_way and rpc.key and self.on_trial(entry.build):
                 self.one_way[rpc.key] = max(entry.build, self.one_way.get(rpc.key, 0))
         self.judge.tell("outcome", now, entry, rpc.method, pick[1], event.ending, event.took_ms,
                         rpc.cost or 1.0)
         if event.final or rpc.done:
-            rpc.done = True
             self.finish(rpc)
         elif not rpc.pending():
             again = now < rpc.end - 10.0 and len(rpc.picks) < self.permits.max_picks
@@ -438,14 +448,12 @@
                 self.give_up(now, rpc)
         self.retry_held(now)
 
-    def carries(self, rate: float) -> None:
-        self.rate += 0.02 * (rate - self.rate) if self.rate else rate
-
     def beat(self, now: float) -> None:
-        for node in self.nodes.values():
-            node.tell("beat", now)
-        for rpc in [one for one in self.held if now + 0.4 * one.facts.soft_ms > one.soft and not one.done]:
-            self.give_up(now, rpc)
+        if self.warm_size:
+            rate = self.carried.total(now, inner=True) / CARRIED_MS / self.warm_size
+            self.rate += 0.02 * (rate - self.rate) if self.rate else rate
+        for rpc in list(self.held):
+            self.hold(now, rpc)
         self.retry_held(now)
 
 
@@ -490,13 +498,12 @@
         self.ready: list[NodeEntry] = []
         weight = 0.5 / len(start.methods)  # two charts a method: failures and speed
         self.threshold = math.log(100_000.0) + math.log(max(1, start.place.marshals)) - math.log(weight)
-        self.before = [[Ring(20_000.0, 20) for _ in range(4)] for _ in start.methods]
+        self.before: list[list[Ring]] = []  # by method: outcomes, failures, log times and their squares
         self.charts: dict[tuple[int, str], Chart] = {}
         self.news: RolloutNews | None = None
         self.crossed: int | None = None
         self.cast: tuple[Verdict, int, int] | None = None
-        self.seen, self.stage_at = 0, 0.0
-        self.cast_at, self.sure, self.retry_at, self.tries = 0.0, False, 0.0, 0
+        self.seen, self.stage_at, self.cast_at, self.sure, self.retry_at = 0, 0.0, 0.0, False, 0.0
 
     def outcome(self, now: float, entry: NodeEntry, method: int, sent: float, ending: Ending, took: float,
                 unit: float) -> None:
@@ -545,7 +552,7 @@
     def told(self, now: float, news: RolloutNews) -> None:
         old = self.news
         if old is None or news.build != old.build:
-            if old is not None and old.phase == Phase.RELEASED:
+            if old is None or old.phase == Phase.RELEASED:
                 self.before = [[Ring(20_000.0, 20) for _ in range(4)] for _ in self.methods]
             self.charts, self.crossed = {}, None
         if old is None or (news.build, news.stage, news.phase) != (old.build, old.stage, old.phase):
@@ -556,16 +563,9 @@
         self.decide(now)
 
     def reply(self, now: float, ending: Ending) -> None:
-        if ending == Ending.OK:
-            self.sure, self.tries = True, 0
-        elif ending == Ending.MOOT:
-            self.cast = None
-            self.retry_at = now + 500.0
-        else:
-            # Each marshal keeps to its share of the votes that are taken, and waits longer each time.
-            self.tries = min(5, self.tries + 1)
-            pace = 1000.0 * self.marshals / max(0.1, self.voting.votes_per_s)
-            self.sure, self.retry_at = False, now + max(2.0 * pace, 150.0 * 2 ** self.tries)
+        self.sure = ending == Ending.OK
+        if not self.sure:  # said again, at this marshal's share of the votes that are taken
+            self.retry_at = now + max(500.0, 2000.0 * self.marshals / max(0.1, self.voting.votes_per_s))
 
     def wanted(self, now: float, news: RolloutNews) -> Verdict:
         voting = self.voting
@@ -590,10 +590,8 @@
             return
         want = self.wanted(now, news)
         key = want, news.stage, news.build
-        if want == Verdict.NONE:
-            return
-        waited = now - self.cast_at
-        if key == self.cast and waited < (0.5 * self.voting.vote_ms if self.sure else self.voting.answer_ms):
+        again = 0.5 * self.voting.vote_ms if self.sure else self.voting.answer_ms
+        if want == Verdict.NONE or (key == self.cast and now - self.cast_at < again):
             return
         if key != self.cast:
             self.acts.append(LogLine(
@@ -621,8 +619,7 @@
             part = self.due.popleft()
             note, args = part.inbox.popleft()
             getattr(part, note)(*args)
-        out = self.acts[:]
-        self.acts.clear()
+        out, self.acts[:] = self.acts[:], []
         return out
 
     def handle(self, now: float, event: Event) -> list[Action]:
