Judge by tallies where a marshal sees few; push back early; accruing cold budget

Guards also against any overload, whatever its cause; harms where few late answers in a row are only chance.

--- a/brookreach/decide.py
+++ b/brookreach/decide.py
@@ -20,9 +20,8 @@
 from brookreach.interface import (
     Abort, Action, Ending, Event, Gate, Group, Guards, ListKind, LogLine, Method, NodeEntry, NodeList,
     NodeState, Phase, Pick, PickEnded, PushBack, Repeat, RolloutNews, RpcGone, RpcTaken, SetTimer, Start,
-    TimerRang, Verdict, Vote)
+    Tally, TimerRang, Verdict, Vote)
 
-Bid = tuple[NodeEntry, int, float]  # node, how sick, expected wait
 BACKWARDS = (Phase.GOING_BACK, Phase.WITHDRAWN)
 NEVER_RAN = (Ending.FULL, Ending.NO_CONNECT, Ending.MOOT)
 BROKEN = (Ending.ERROR, Ending.TIMEOUT, Ending.RESET)
@@ -31,8 +30,8 @@
 WARM_UP_MS = 3000.0
 CARRIED_MS = 4000.0  # over this time a warm node shows what it carries
 FEW, MORE = 2, 12  # nodes drawn for an RPC at first, and when none of the few can take it
-RPC_END, RPC_COPY, BEAT = 0, 1, 2  # what a timer is for; its token is 4 x RPC + one of these
-BEAT_MS = 250.0
+RPC_END, RPC_COPY, BEAT, RPC_HELD = 0, 1, 2, 3  # what a timer is for; its token is 4 x RPC + one of these
+BEAT_MS, HOLD_MS = 250.0, 50.0
 
 
 class Ring:
@@ -79,7 +78,7 @@
         self.end, soft = event.deadline_ms, facts.soft_ms + facts.soft_stretch * (event.cost_ms or 0.0)
         self.soft = min(now + min(soft, facts.hard_ms), self.end)
         self.picks: list[list[Any]] = []
-        self.bids: list[Bid] = []
+        self.bids: list[tuple[NodeEntry, int, float]] = []  # node, how sick, expected wait
         self.asked, self.drawn, self.done = 0, FEW, False
 
     def pending(self) -> bool:
@@ -127,19 +126,18 @@
 class Node(Part):
     """One node as this marshal sees it: its picks, its speed, its health, how cold it may be."""
 
-    def __init__(self, due: Due, desk: Desk, entry: NodeEntry, guards: Guards):
+    def __init__(self, due: Due, desk: Desk, entry: NodeEntry, guards: Guards, phase: float):
         super().__init__(due)
-        self.desk, self.guards = desk, guards
-        self.out: dict[tuple[int, int], float] = {}  # pick: sent at
+        self.desk, self.guards, self.phase = desk, guards, phase
+        self.out = 0  # picks that have not ended
         self.renew(entry)
 
     def renew(self, entry: NodeEntry) -> None:
         self.entry = entry
         # A node that comes cold may run a build that needs more work: twice until its answers tell.
         self.slow = 2.0 if entry.started_ms else 1.0
-        self.bad, self.shy_until, self.shy_ms, self.ails = 0.0, 0.0, 0.0, WELL
-        self.limit, self.cut_at, self.heard_at = 8.0, 0.0, 0.0
-        self.sent = Ring(self.guards.fall_ms, 20)
+        self.shy_until, self.shy_ms, self.ails = 0.0, 0.0, WELL
+        self.room, self.room_at = 0.0, 0.0
 
     def listed(self, entry: NodeEntry) -> None:
         if (entry.started_ms, entry.build) != (self.entry.started_ms, self.entry.build):
@@ -149,52 +147,44 @@
     def call(self, now: float, rpc: Rpc, cost: float, typical: float, rate: float) -> None:
         """Answer the desk's call for bids: none when it must not or cannot take this RPC."""
         entry, warm = self.entry, warmth(self.entry, now, self.guards)
-        fit = entry.state == NodeState.READY and len(self.out) < self.limit
+        fit = entry.state == NodeState.READY
         if fit and warm < 1.0:
             # All marshals keep to their share of what warm nodes carry, so that together they stay inside.
-            # Work that takes longer here counts for more: a build may need several times the work.
-            budget = 0.4 * self.guards.fall_multiple * warm * rate * entry.size * self.guards.fall_ms
-            fit = (self.sent.total(now) + cost) * max(1.0, self.slow) <= budget
+            # Room accrues, from a phase by chance: hundreds that each send little start the right number
+            # of RPCs between them, and not at once. Work that takes longer here counts for more.
+            pace = 0.4 * self.guards.fall_multiple * warm * rate * entry.size
+            most = 0.2 * pace * self.guards.fall_ms
+            if not self.room_at:
+                self.room, self.room_at = most - self.phase * cost * self.slow, now
+            self.room, self.room_at = min(self.room + pace * (now - self.room_at), most), now
+            fit = self.room > 0.0
         if not fit:
-            self.desk.tell("bid", now, rpc)
-            return
-        oldest = next(iter(self.out.values()), now)
-        silent = now - max(oldest, self.heard_at) > 3.0 * typical * max(1.0, self.slow) + 200.0
-        shy = now < self.shy_until or (self.shy_ms > 0.0 and len(self.out) > 0)
-        sick = SILENT if silent else self.ails if shy else WELL
-        wait = typical * self.slow * (1 + len(self.out)) / warm
-        self.desk.tell("bid", now, rpc, (entry, sick, wait))
+            return self.desk.tell("bid", now, rpc)
+        shy = now < self.shy_until or (self.shy_ms > 0.0 and self.out > 0)
+        wait = typical * self.slow * (1 + self.out) / warm
+        self.desk.tell("bid", now, rpc, (entry, self.ails if shy else WELL, wait))
 
-    def took(self, now: float, rpc: int, nth: int, cost: float) -> None:
-        self.out[rpc, nth] = now
-        self.sent.add(now, cost)
+    def took(self, cost: float) -> None:
+        self.out += 1
+        self.room -= cost * max(1.0, self.slow)
 
     def ended(self, now: float, event: PickEnded, typical: float, soft_ms: float) -> None:
         ending = event.ending
-        self.out.pop((event.rpc, event.nth), None)
-        if ending in (Ending.OK, Ending.ERROR, Ending.FULL):
-            self.heard_at = now
+        self.out -= 1
         if ending == Ending.OK:
             self.slow += 0.1 * (min(20.0, event.took_ms / typical * warmth(self.entry, now, self.guards))
                                 - self.slow)
-            self.bad *= 0.8
-            if self.shy_ms and now >= self.shy_until and self.bad < 0.2:
-                self.desk.acts.append(LogLine(f"node {self.entry.node} back, bad {self.bad:.2f}"))
-                self.shy_ms = 0.0
-        elif ending in BROKEN or ending == Ending.NO_CONNECT:
-            self.bad += 0.2 * (1.0 - self.bad) if ending == Ending.ERROR else 0.4 * (1.0 - self.bad)
-            if self.bad > 0.45 and now >= self.shy_until:
-                self.shy_ms = min(8000.0, max(500.0, 2.0 * self.shy_ms))
-                self.shy_until = now + self.shy_ms
-                self.ails = ERRING if ending == Ending.ERROR else SILENT
-                self.desk.acts.append(LogLine(
-                    f"node {self.entry.node} shunned {self.shy_ms:.0f} ms, bad {self.bad:.2f}"))
-        # My picks at once are bounded so that answers come in half the soft deadline, whatever slows them.
-        if event.took_ms < 0.5 * soft_ms and ending == Ending.OK:
-            self.limit += (len(self.out) + 2 > self.limit) / self.limit
-        elif now - event.took_ms >= self.cut_at and (ending == Ending.FULL or event.took_ms >= 0.5 * soft_ms):
-            held = 0.5 if ending == Ending.FULL else max(0.5, 0.5 * soft_ms / event.took_ms)
-            self.limit, self.cut_at = max(1.0, min(self.limit, len(self.out) + 1.0) * held), now
+            if self.shy_ms and now >= self.shy_until:
+                self.shy_ms = 0.5 * self.shy_ms if self.shy_ms > 500.0 else 0.0
+                if not self.shy_ms:
+                    self.desk.acts.append(LogLine(f"node {self.entry.node} back"))
+        elif now >= self.shy_until and (ending == Ending.NO_CONNECT or (ending in BROKEN and (
+                ending != Ending.TIMEOUT or event.took_ms >= 0.9 * soft_ms))):  # short patience tells nothing
+            self.shy_ms = min(8000.0, max(500.0, 2.0 * self.shy_ms))
+            self.shy_until = now + self.shy_ms
+            self.ails = ERRING if ending == Ending.ERROR else SILENT
+            self.desk.acts.append(LogLine(
+                f"node {self.entry.node} shunned {self.shy_ms:.0f} ms after {ending.name}"))
 
 
 class Desk(Part):
@@ -209,9 +199,6 @@
         self.rings: dict[tuple[int, int], Ring] = {}  # by method and build; build 0: RPCs taken
         self.nodes: dict[int, Node] = {}
         self.rpcs: dict[int, Rpc] = {}
-        self.held: deque[Rpc] = deque()  # no node could take them yet
-        self.asking: deque[Rpc] = deque()  # waiting for their call for bids
-        self.busy = False
         self.news: RolloutNews | None = None
         # A method's usual answer time, and the usual hint of its cost by which one RPC's is scaled.
         self.usual_ms = [m.soft_ms / 5.0 for m in start.methods]
@@ -222,14 +209,13 @@
         self.survey_at, self.warm_size = now, 0.0
         # What warm nodes carry: cost a ms and unit of size.
         self.rate, self.carried = 0.0, Ring(CARRIED_MS, 16)
+        self.few, self.late = sees_few(start), 0.0  # late: share of my last picks that ended so, or nearly
         self.spare = 1.0  # second copies that may be sent now: one for ten RPCs
         self.one_way: dict[int, int] = {}
 
     def listing(self, now: float, event: NodeList) -> None:
-        if event.kind == ListKind.FAILED:
-            return
         changed = {entry.node: entry for entry in event.entries}
-        if event.kind != ListKind.DELTA:  # what a complete list leaves out has been removed
+        if event.kind in (ListKind.FULL, ListKind.CACHED):  # what a complete list leaves out has been removed
             gone = {key: replace(old, state=NodeState.GONE) for key, old in self.entries.items()}
             changed = gone | changed
         self.entries |= changed
@@ -237,16 +223,14 @@
             if entry.node in self.nodes:
                 self.nodes[entry.node].tell("listed", entry)
             else:
-                self.nodes[entry.node] = Node(self.due, self, entry, self.guards)
+                self.nodes[entry.node] = Node(self.due, self, entry, self.guards, self.chance.random())
         self.survey_at = now
         self.judge.tell("listed", [e for e in self.entries.values() if e.state == NodeState.READY])
-        self.retry_held(now)
 
     def told(self, now: float, news: RolloutNews) -> None:
         if news.phase in BACKWARDS:
             self.one_way.clear()
         self.news, self.survey_at = news, now
-        self.retry_held(now)
 
     def taken_in(self, now: float, event: RpcTaken) -> None:
         rpc = self.rpcs[event.rpc] = Rpc(now, event, self.methods[event.method])
@@ -256,19 +240,15 @@
             usual = self.usual_cost[rpc.method] or rpc.cost
             self.usual_cost[rpc.method] = usual + 0.02 * (rpc.cost - usual)
         self.acts.append(SetTimer(max(0.0, rpc.end - now - 6.0), 4 * rpc.id + RPC_END))
-        self.call(now, rpc)
+        if self.chance.random() < min(0.9, 2.0 * (self.late - 0.25)):
+            self.give_up(now, rpc)  # at once: what can't be answered in time only makes others late
+        else:
+            self.tell("ask", now, rpc)
 
     def typical(self, rpc: Rpc) -> float:
         usual = self.usual_cost[rpc.method]
         return self.usual_ms[rpc.method] * (rpc.cost / usual if rpc.cost and usual else 1.0)
 
-    def call(self, now: float, rpc: Rpc) -> None:
-        """Draw a few nodes and ask them for bids, more when none of them can. One call at a time: bids are
-        never stale."""
-        rpc.drawn = FEW
-        self.asking.append(rpc)
-        self.tell("ask", now)
-
     def survey(self, now: float) -> None:
         """Sort the ready nodes by side; anew after changes and, while any are cold, each beat. What a node
         can do goes by size and warmth: slowness shows in its wait, and a slow build must not hide."""
@@ -296,46 +276,39 @@
         if not rpc.picks and not floor:
             return sides
         copies, tried = self.permits.second_copies, {pick[0].node for pick in rpc.picks}
-        fit = [[e for e in side.entries if e.build >= floor and may_go(rpc, e, now, copies)]
-               for side, _ in sides]
-        fit = [side for side in ([e for e in some if e.node not in tried] for some in fit) if side] or fit
+        fit = [[e for e in side.entries if e.build >= floor and e.node not in tried
+                and may_go(rpc, e, now, copies)] for side, _ in sides]
         narrow = [Side([(e, e.size * warmth(e, now, self.guards)) for e in side]) for side in fit if side]
         return [(side, Side([])) for side in (narrow[:1] if rpc.picks else narrow)]
 
-    def ask(self, now: float) -> None:
-        if self.busy or not self.asking:
-            return
-        self.busy, rpc = True, self.asking.popleft()
+    def ask(self, now: float, rpc: Rpc, most: int = FEW) -> None:
+        """Draw a few nodes and ask them for bids; one event makes one call at most: bids are never stale."""
         self.survey(now)
         sides = self.sides(now, rpc)
-        if rpc.drawn == FEW and sides:
+        if most == FEW and sides:
             sides = self.chance.choices(sides, weights=[side.sums[-1] for side, _ in sides])
-        drawn = [entry for both in sides for side in both for entry in side.draw(self.chance, rpc.drawn)]
+        drawn = [entry for both in sides for side in both for entry in side.draw(self.chance, most)]
         few = dict.fromkeys(entry.node for entry in drawn)
-        rpc.bids, rpc.asked = [], len(few)
+        rpc.bids, rpc.asked, rpc.drawn = [], len(few), most
         typical, cost = self.typical(rpc), rpc.cost or self.usual_ms[rpc.method]
         for number in few:
             self.nodes[number].tell("call", now, rpc, cost, typical, self.rate)
         if not few:
             self.tell("chosen", now, rpc)
 
-    def bid(self, now: float, rpc: Rpc, *offer: Bid) -> None:
+    def bid(self, now: float, rpc: Rpc, *offer: tuple[NodeEntry, int, float]) -> None:
         rpc.asked -= 1
         rpc.bids.extend(offer)
         if rpc.asked == 0:
             self.tell("chosen", now, rpc)
 
     def chosen(self, now: float, rpc: Rpc) -> None:
-        """Of the nodes that could, the one with the shortest wait. A build on trial that errs keeps its
-        picks, or it would starve the charts; the exposure cap bounds the harm. A node that does not answer
-        loses them on either side. Where all that were drawn are sick, they are used."""
-        self.busy = False
-        well = [b for b in rpc.bids if b[1] < (SILENT if self.on_trial(b[0].build) else ERRING)]
-        if rpc.done:
-            pass
-        elif not well and rpc.drawn == FEW and self.news is not None:
-            rpc.drawn = MORE
-            self.asking.appendleft(rpc)
+        """Of the nodes that could, the one with the shortest wait; sick ones where all are. Trial nodes that
+        err keep their picks where own outcomes judge, or the charts would starve; the cap bounds the harm."""
+        well = [b for b in rpc.bids if b[1] < (
+            SILENT if self.on_trial(b[0].build) and not self.few else ERRING)]
+        if not well and rpc.drawn == FEW and self.field:
+            self.tell("ask", now, rpc, MORE)
         elif rpc.bids:
             far = 1.0 + 8.0 * self.prices.cross_zone
             some = (well or rpc.bids)[:2 * FEW]
@@ -343,17 +316,14 @@
                 b[2] * (1.0 if b[0].zone == self.place.zone else far), b[0].node))[0])
         else:
             self.hold(now, rpc)
-        self.tell("ask", now)  # behind the note of this pick to its node
 
     def on_trial(self, build: int) -> bool:
         news = self.news
         return news is None or build > news.build or (build == news.build and news.phase != Phase.RELEASED)
 
     def ring(self, method: int, build: int) -> Ring:
-        key = (method if self.exposure.by_method else 0, build)
-        if key not in self.rings:
-            self.rings[key] = Ring(self.exposure.window_ms)
-        return self.rings[key]
+        key = method if self.exposure.by_method else 0, build
+        return self.rings.setdefault(key, Ring(self.exposure.window_ms))
 
     def exposed(self, now: float, rpc: Rpc, build: int) -> bool:
         """Whether the exposure rule lets this RPC go to this build on trial now."""
@@ -372,28 +342,20 @@
         rpc.picks.append([entry, now, None])
         if self.on_trial(entry.build):
             self.ring(rpc.method, entry.build).add(now)
-        self.nodes[entry.node].tell("took", now, rpc.id, nth, cost)
+        self.nodes[entry.node].tell("took", cost)
         self.acts.append(Pick(rpc.id, entry.node, rpc.end - now - 5.0))
-        self.tell("retry_held", now)
         if nth == 0 and self.permits.second_copies and rpc.facts.repeat == Repeat.IDEMPOTENT:
-            wait = max(3.0 * self.typical(rpc), 0.25 * rpc.facts.soft_ms)
-            self.acts.append(SetTimer(wait, 4 * rpc.id + RPC_COPY))
+            after = max(3.0 * self.typical(rpc), 0.25 * rpc.facts.soft_ms)
+            self.acts.append(SetTimer(after, 4 * rpc.id + RPC_COPY))
 
     def hold(self, now: float, rpc: Rpc) -> None:
         """No node can take it now: keep it while it can still be answered in time, else say so at once."""
-        if rpc.pending() or rpc.done:
+        if rpc.pending():
             return
         if now + 0.4 * rpc.facts.soft_ms > rpc.soft or len(rpc.picks) >= self.permits.max_picks:
             self.give_up(now, rpc)
-        elif rpc not in self.held:
-            self.held.append(rpc)
-
-    def retry_held(self, now: float) -> None:
-        """Try one that waits; each that finds a node brings on the next: a long queue costs little."""
-        while self.held and self.held[0].done:
-            self.held.popleft()
-        if self.held:
-            self.call(now, self.held.popleft())
+        else:
+            self.acts.append(SetTimer(HOLD_MS, 4 * rpc.id + RPC_HELD))
 
     def give_up(self, now: float, rpc: Rpc) -> None:
         if may_push_back(rpc):
@@ -413,9 +375,11 @@
             return
         if what == RPC_END:
             self.give_up(now, rpc)
+        elif what == RPC_HELD and not rpc.pending():
+            self.tell("ask", now, rpc)
         elif rpc.pending() and len(rpc.picks) == 1 and self.spare >= 1.0:
             self.spare -= 1.0
-            self.call(now, rpc)
+            self.tell("ask", now, rpc)
 
     def gone(self, now: float, event: RpcGone) -> None:
         if event.rpc in self.rpcs:
@@ -436,6 +400,9 @@
                 self.carried.add(now, rpc.cost or self.usual_ms[rpc.method])
             if self.exposure.one_way and rpc.key and self.on_trial(entry.build):
                 self.one_way[rpc.key] = max(entry.build, self.one_way.get(rpc.key, 0))
+        if event.ending in (Ending.OK, Ending.FULL, Ending.TIMEOUT):
+            late = event.ending != Ending.OK or event.took_ms > 0.6 * rpc.facts.soft_ms
+            self.late += 0.12 * (late - self.late)
         self.judge.tell("outcome", now, entry, rpc.method, pick[1], event.ending, event.took_ms,
                         rpc.cost or 1.0)
         if event.final or rpc.done:
@@ -443,26 +410,22 @@
         elif not rpc.pending():
             again = now < rpc.end - 10.0 and len(rpc.picks) < self.permits.max_picks
             if again and may_go(rpc, entry, now, self.permits.second_copies):
-                self.call(now, rpc)
+                self.tell("ask", now, rpc)
             else:
                 self.give_up(now, rpc)
-        self.retry_held(now)
 
     def beat(self, now: float) -> None:
         if self.warm_size:
             rate = self.carried.total(now, inner=True) / CARRIED_MS / self.warm_size
             self.rate += 0.02 * (rate - self.rate) if self.rate else rate
-        for rpc in list(self.held):
-            self.hold(now, rpc)
-        self.retry_held(now)
 
 
 class Chart:
     """One stream's CUSUM: it starts at 0 and never falls below. No node alone may carry it far: what one node
     has added since the chart last stood at 0 ends at `most`."""
 
-    def __init__(self) -> None:
-        self.level, self.count, self.up = 0.0, 0, 0
+    def __init__(self, threshold: float) -> None:
+        self.threshold, self.level = threshold, 0.0
         self.added: dict[int, float] = {}
 
     def step(self, size: float, node: int, most: float) -> None:
@@ -472,7 +435,11 @@
         self.level = max(0.0, self.level + size)
         if self.level == 0.0:
             self.added.clear()
-        self.count, self.up = self.count + 1, self.up + (size > 0.0)
+
+
+def sees_few(start: Start) -> bool:
+    """Whether a tally holds far more of the picks than a marshal sees of them on an even spread."""
+    return start.rollout.tally_ms > 0.0 and start.rollout.tally_sample * start.place.marshals > 4.0
 
 
 def failure_step(failure: bool, before: float, rise: float) -> float:
@@ -482,10 +449,9 @@
     return math.log(after / before) if failure else math.log((1.0 - after) / (1.0 - before))
 
 
-def speed_step(over: float, spread: float, shift: float) -> float:
-    """The same for the log of an answer's time over the earlier build's, a normal mean shifted by `shift`; a
-    single answer counts no more than an error would."""
-    return max(-2.0, min(2.0, shift / spread ** 2 * (over - 0.5 * shift)))
+def speed_step(over: float, variance: float) -> float:
+    """The same for the log of a time over the earlier build's: a normal mean shifted by 0.6."""
+    return 0.6 * (over - 0.3) / variance
 
 
 class Judge(Part):
@@ -496,8 +462,13 @@
         self.acts, self.voting, self.methods = out, start.voting, start.methods
         self.marshals, self.shares, self.places = start.place.marshals, start.rollout.stage_shares, 0
         self.ready: list[NodeEntry] = []
-        weight = 0.5 / len(start.methods)  # two charts a method: failures and speed
-        self.threshold = math.log(100_000.0) + math.log(max(1, start.place.marshals)) - math.log(weight)
+        self.tally_ms, self.few = start.rollout.tally_ms, sees_few(start)
+        # A method's charts: failures and speed, of own outcomes and, where these are few, of tallied ones.
+        # Tallied ones cross at all marshals alike: their false alarms don't add up over marshals.
+        weight = (0.25 if self.few else 0.5) / len(start.methods)
+        self.shared = math.log(100_000.0) - math.log(weight)
+        self.threshold = self.shared + math.log(max(1, self.marshals))
+        self.tallied: dict[int, list[float]] = {}  # earlier builds, by method: outcomes, failures, ms, when
         self.before: list[list[Ring]] = []  # by method: outcomes, failures, log times and their squares
         self.charts: dict[tuple[int, str], Chart] = {}
         self.news: RolloutNews | None = None
@@ -521,27 +492,55 @@
             return  # decided, or nothing left to compare with
         cold = entry.started_ms > 0.0 and sent < entry.started_ms + WARM_UP_MS
         self.seen += 1
+        # One bad node is not a bad build: of several trial nodes two thirds, of many a few must speak up.
+        peers = sum(one.build == entry.build for one in self.ready)
+        most = max(3.2, 1.5 * self.threshold / max(1, peers))
         # My failure share on the earlier build is the before-rate, floored; below 20 outcomes the floor.
         if not (late and cold):  # a cold node is slow whatever its build; errors count at once
             before = max(FLOOR, failed / count) if count >= 20 else FLOOR
-            self.step(now, entry, method, "failures", failure_step(failure, before, 0.15), before)
+            self.step(now, method, "failures", failure_step(failure, before, 0.15), before, entry.node, most)
         if not cold and count >= 20 and (ending == Ending.OK or late):
             mean = paces / count
-            spread = max(0.4, math.sqrt(max(0.0, squares / count - mean * mean)))
-            self.step(now, entry, method, "speed", speed_step(pace - mean, spread, 0.6), mean)
-
-    def step(self, now: float, entry: NodeEntry, method: int, stream: str, size: float,
-             before: float) -> None:
-        news, chart = self.news, self.charts.setdefault((method, stream), Chart())
-        # One bad node is not a bad build: of several trial nodes, two thirds must speak against it; where
-        # they are many, a few, since this marshal may see little of each.
-        peers = sum(one.build == entry.build for one in self.ready)
-        chart.step(size, entry.node, max(3.2, 1.5 * self.threshold / max(1, peers)))
-        if news and chart.level >= self.threshold and self.crossed is None:
+            size = speed_step(pace - mean, max(0.16, squares / count - mean * mean))
+            # A single answer counts no more than an error would.
+            self.step(now, method, "speed", max(-2.0, min(2.0, size)), mean, entry.node, most)
+
+    def tally(self, now: float, told: Tally) -> None:
+        """What the platform counted of all picks: evidence for a marshal that sees few, against its count of
+        the earlier build in the same seconds. Late or lost ones only delay it; no tally alone crosses."""
+        news, good = self.news, told.count - told.failed
+        if news is None or not self.few or told.count == 0 or told.build > news.build:
+            return
+        count, failed, total_ms, at = self.tallied.get(told.method, [0.0, 0.0, 0.0, now])
+        if told.build < news.build:
+            self.tallied[told.method] = [0.5 * count + told.count, 0.5 * failed + told.failed,
+                                         0.5 * total_ms + told.mean_ms * good, now]
+            return
+        if news.phase in BACKWARDS or count < 20 or now - at > 2.5 * self.tally_ms:
+            return
+        most, before = 0.6 * self.shared, max(FLOOR, failed / count)
+        size = told.failed * failure_step(True, before, 0.15) + good * failure_step(False, before, 0.15)
+        self.step(now, told.method, "tallied failures", min(most, size), before)
+        newest = max((entry.started_ms for entry in self.ready if entry.build == news.build), default=now)
+        if good and failed < count and now - told.age_ms - self.tally_ms >= newest + WARM_UP_MS:
+            mean = total_ms / (count - failed)
+            over = math.log(max(1.0, told.mean_ms) / max(1.0, mean))
+            size = speed_step(over, 1.0 / good + 1.0 / (count - failed))
+            self.step(now, told.method, "tallied speed", max(-most, min(most, size)), mean)
+
+    def step(self, now: float, method: int, stream: str, size: float, before: float, node: int = -1,
+             most: float = math.inf) -> None:
+        limit = self.shared if node < 0 else self.threshold
+        news, chart = self.news, self.charts.setdefault((method, stream), Chart(limit))
+        chart.step(size, node, most)
+        # Tallies don't name nodes: with one or two on trial, a bad node looks like a bad build. Then they
+        # only withhold on; no chart stands higher than its threshold, so that it can come down.
+        chart.level = min(chart.level, chart.threshold)
+        sure = node >= 0 or sum(news is not None and one.build == news.build for one in self.ready) > 2
+        if news and sure and chart.level >= chart.threshold and self.crossed is None:
             self.crossed = news.build
             self.acts.append(LogLine(f"back {news.build}: method {method} {stream} {chart.level:.1f} of "
-                                     f"{self.threshold:.1f}, {chart.up} up of {chart.count}, "
-                                     f"before {before:.3f}"))
+                                     f"{chart.threshold:.1f}, before {before:.3f}"))
             self.decide(now)
 
     def listed(self, ready: list[NodeEntry]) -> None:
@@ -573,7 +572,7 @@
             return Verdict.BACK
         if news.phase != Phase.ON_TRIAL:
             return Verdict.NONE
-        doubt = any(c.level > 0.5 * self.threshold for c in self.charts.values())
+        doubt = any(c.level > 0.5 * c.threshold for c in self.charts.values())
         if voting.gate == Gate.CLOCK:
             return Verdict.HOLD if doubt else Verdict.NONE
         starts = [entry.started_ms for entry in self.ready if entry.build == news.build]
@@ -640,6 +639,8 @@
                 desk.tell("gone", now, event)
             case NodeList():
                 desk.tell("listing", now, event)
+            case Tally():
+                judge.tell("tally", now, event)
             case RolloutNews():
                 if event.reply:
                     judge.tell("reply", now, event.ending)
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -69,3 +69,19 @@
         world = trial(methods=(method(), method(ONCE, name="write")))
         world.quietly(400, fails=lambda number: True, method=1)
         self.compare("all_fail", [t for t in world.trace if "log: node" not in t and "abort" not in t][:8])
+
+    def test_tallies_judge_where_a_marshal_sees_few(self):
+        world = World(start(marshals=100, tally=2000.0))
+        world.news(1, 2, 1.0, ifc.Phase.RELEASED)
+        world.nodes(*(node(one) for one in range(1, 9)))
+        trial = [node(one, build=2, started=world.now + 1.0) for one in (11, 12, 13, 14)]
+        world.news(2, 0, 0.1)
+        for nodes, failed in ((1, 6), (4, 0), (4, 6)):
+            world.nodes(*trial[:nodes], kind=ifc.ListKind.DELTA)
+            world.say(f"{nodes} trial nodes, {failed} of 40 tallied failed, four times, 4 times")
+            for _ in range(4):
+                world.wait(2000.0)
+                world.event(ifc.Tally(1, 0, 1000.0, 1, 200, 100.0))
+                world.event(ifc.Tally(2, 0, 1000.0, failed, 40, 100.0))
+                world.event(ifc.Tally(9, 7, 1000.0, 1, 1, 100.0))
+        self.compare("tallies", world.trace)
