--- a/brookreach/decide.py
+++ b/brookreach/decide.py
@@ -161,7 +161,8 @@
         if not fit:
             return self.desk.tell("bid", now, rpc)
         shy = now < self.shy_until or (self.shy_ms > 0.0 and self.out > 0)
-        wait = typical * self.slow * (1 + self.out) / warm
+        # A cold node's weight in the draw and its room hold it back; it would never win by its wait as well.
+        wait = typical * (1 + self.out) * (self.slow if warm == 1.0 else 1.0)
         self.desk.tell("bid", now, rpc, (entry, self.ails if shy else WELL, wait))
 
     def took(self, cost: float) -> None:
@@ -209,7 +210,8 @@
         self.survey_at, self.warm_size = now, 0.0
         # What warm nodes carry: cost a ms and unit of size.
         self.rate, self.carried = 0.0, Ring(CARRIED_MS, 16)
-        self.few, self.late = sees_few(start), 0.0  # late: share of my last picks that ended so, or nearly
+        self.few = sees_few(start)
+        self.ends, self.lates = Ring(4000.0, 8), Ring(4000.0, 8)  # picks that ended, and those nearly late or so
         self.spare = 1.0  # second copies that may be sent now: one for ten RPCs
         self.one_way: dict[int, int] = {}
 
@@ -240,7 +242,8 @@
             usual = self.usual_cost[rpc.method] or rpc.cost
             self.usual_cost[rpc.method] = usual + 0.02 * (rpc.cost - usual)
         self.acts.append(SetTimer(max(0.0, rpc.end - now - 6.0), 4 * rpc.id + RPC_END))
-        if self.chance.random() < min(0.9, 2.0 * (self.late - 0.25)):
+        late = self.lates.total(now) / (self.ends.total(now) + 1.0)
+        if self.chance.random() < min(0.9, 3.0 * (late - 0.2)):
             self.give_up(now, rpc)  # at once: what can't be answered in time only makes others late
         else:
             self.tell("ask", now, rpc)
@@ -401,8 +404,8 @@
             if self.exposure.one_way and rpc.key and self.on_trial(entry.build):
                 self.one_way[rpc.key] = max(entry.build, self.one_way.get(rpc.key, 0))
         if event.ending in (Ending.OK, Ending.FULL, Ending.TIMEOUT):
-            late = event.ending != Ending.OK or event.took_ms > 0.6 * rpc.facts.soft_ms
-            self.late += 0.12 * (late - self.late)
+            self.ends.add(now)
+            self.lates.add(now, event.ending != Ending.OK or event.took_ms > 0.6 * rpc.facts.soft_ms)
         self.judge.tell("outcome", now, entry, rpc.method, pick[1], event.ending, event.took_ms,
                         rpc.cost or 1.0)
         if event.final or rpc.done:
