--- a/brookreach/decide.py
+++ b/brookreach/decide.py
@@ -24,13 +24,12 @@
 
 BACKWARDS = (Phase.GOING_BACK, Phase.WITHDRAWN)
 NEVER_RAN = (Ending.FULL, Ending.NO_CONNECT, Ending.MOOT)
-BROKEN = (Ending.ERROR, Ending.TIMEOUT, Ending.RESET)
 WELL, ERRING, SILENT = 0, 1, 2  # how sick a node is
 FLOOR = 0.02  # of the before-rate
-WARM_UP_MS = 3000.0
-CARRIED_MS = 4000.0  # over this time a warm node shows what it carries
+WARM_UP_MS, CARRIED_MS = 3000.0, 4000.0  # a trial node's; over the other a warm node shows what it carries
 FEW, MORE = 2, 12  # nodes drawn for an RPC at first, and when none of the few can take it
 RPC_END, RPC_COPY, BEAT, RPC_HELD = 0, 1, 2, 3  # what a timer is for; its token is 4 x RPC + one of these
+NOTES = {RpcTaken: "taken_in", PickEnded: "ended", RpcGone: "gone", NodeList: "listing"}
 BEAT_MS, HOLD_MS = 250.0, 50.0
 
 
@@ -126,9 +125,9 @@
 class Node(Part):
     """One node as this marshal sees it: its picks, its speed, its health, how cold it may be."""
 
-    def __init__(self, due: Due, desk: Desk, entry: NodeEntry, guards: Guards, phase: float):
+    def __init__(self, due: Due, desk: Desk, entry: NodeEntry, guards: Guards, phase: float, shy_ms: float):
         super().__init__(due)
-        self.desk, self.guards, self.phase = desk, guards, phase
+        self.desk, self.guards, self.phase, self.least_ms = desk, guards, phase, shy_ms
         self.out = 0  # picks that have not ended
         self.renew(entry)
 
@@ -169,23 +168,23 @@
         self.out += 1
         self.room -= cost * max(1.0, self.slow)
 
-    def ended(self, now: float, event: PickEnded, typical: float, soft_ms: float) -> None:
-        ending = event.ending
+    def ended(self, now: float, event: PickEnded, typical: float, soft_ms: float, calm: bool) -> None:
+        entry, ending, slow = self.entry, event.ending, event.took_ms > max(0.5 * soft_ms, 4.0 * typical)
         self.out -= 1
         if ending == Ending.OK:
-            self.slow += 0.1 * (min(20.0, event.took_ms / typical * warmth(self.entry, now, self.guards))
-                                - self.slow)
+            pace = min(20.0, event.took_ms / typical * warmth(entry, now, self.guards))
+            self.slow += 0.1 * (pace - self.slow)
             if self.shy_ms and now >= self.shy_until:
-                self.shy_ms = 0.5 * self.shy_ms if self.shy_ms > 500.0 else 0.0
+                self.shy_ms = 0.5 * self.shy_ms if self.shy_ms > self.least_ms else 0.0
                 if not self.shy_ms:
-                    self.desk.acts.append(LogLine(f"node {self.entry.node} back"))
-        elif now >= self.shy_until and (ending == Ending.NO_CONNECT or (ending in BROKEN and (
-                ending != Ending.TIMEOUT or event.took_ms >= 0.9 * soft_ms))):  # short patience tells nothing
-            self.shy_ms = min(8000.0, max(500.0, 2.0 * self.shy_ms))
+                    self.desk.acts.append(LogLine(f"node {entry.node} back"))
+        # A long wait tells of this node while few are late, and of no node when all are: then it is a jam.
+        if now >= self.shy_until and (ending in (Ending.NO_CONNECT, Ending.ERROR, Ending.RESET) or (
+                calm and slow and ending in (Ending.OK, Ending.TIMEOUT))):
+            self.shy_ms = min(16.0 * self.least_ms, max(self.least_ms, 2.0 * self.shy_ms))
             self.shy_until = now + self.shy_ms
             self.ails = ERRING if ending == Ending.ERROR else SILENT
-            self.desk.acts.append(LogLine(
-                f"node {self.entry.node} shunned {self.shy_ms:.0f} ms after {ending.name}"))
+            self.desk.acts.append(LogLine(f"node {entry.node} shunned {self.shy_ms:.0f} ms, {ending.name}"))
 
 
 class Desk(Part):
@@ -210,9 +209,9 @@
         self.survey_at, self.warm_size = now, 0.0
         # What warm nodes carry: cost a ms and unit of size.
         self.rate, self.carried = 0.0, Ring(CARRIED_MS, 16)
-        self.few = sees_few(start)
-        self.ends, self.lates = Ring(4000.0, 8), Ring(4000.0, 8)  # picks that ended, and those nearly late or so
-        self.spare = 1.0  # second copies that may be sent now: one for ten RPCs
+        # Second copies that may be sent now: one for ten RPCs.
+        self.few, self.spare = sees_few(start), 1.0
+        self.ends, self.lates = Ring(4000.0, 8), Ring(4000.0, 8)  # picks that ended; those late, or nearly
         self.one_way: dict[int, int] = {}
 
     def listing(self, now: float, event: NodeList) -> None:
@@ -225,7 +224,8 @@
             if entry.node in self.nodes:
                 self.nodes[entry.node].tell("listed", entry)
             else:
-                self.nodes[entry.node] = Node(self.due, self, entry, self.guards, self.chance.random())
+                self.nodes[entry.node] = Node(
+                    self.due, self, entry, self.guards, self.chance.random(), 4000.0 if self.few else 500.0)
         self.survey_at = now
         self.judge.tell("listed", [e for e in self.entries.values() if e.state == NodeState.READY])
 
@@ -243,7 +243,7 @@
             self.usual_cost[rpc.method] = usual + 0.02 * (rpc.cost - usual)
         self.acts.append(SetTimer(max(0.0, rpc.end - now - 6.0), 4 * rpc.id + RPC_END))
         late = self.lates.total(now) / (self.ends.total(now) + 1.0)
-        if self.chance.random() < min(0.9, 3.0 * (late - 0.2)):
+        if self.chance.random() < min(0.9, 2.5 * (late - 0.35)):
             self.give_up(now, rpc)  # at once: what can't be answered in time only makes others late
         else:
             self.tell("ask", now, rpc)
@@ -395,7 +395,8 @@
         pick = rpc.picks[event.nth]
         pick[2] = event.ending
         entry = pick[0]
-        self.nodes[entry.node].tell("ended", now, event, self.typical(rpc), rpc.facts.soft_ms)
+        self.nodes[entry.node].tell("ended", now, event, self.typical(rpc), rpc.facts.soft_ms,
+                                     self.lates.total(now) < 0.35 * (self.ends.total(now) + 1.0))
         if event.ending == Ending.OK:
             work = min(event.took_ms, 0.5 * rpc.facts.soft_ms)  # queues are no work
             self.usual_ms[rpc.method] += 0.02 * (work - self.usual_ms[rpc.method])
@@ -519,27 +520,28 @@
             self.tallied[told.method] = [0.5 * count + told.count, 0.5 * failed + told.failed,
                                          0.5 * total_ms + told.mean_ms * good, now]
             return
-        if news.phase in BACKWARDS or count < 20 or now - at > 2.5 * self.tally_ms:
-            return
+        if news.phase != Phase.ON_TRIAL or count < 20 or now - at > 2.5 * self.tally_ms:
+            return  # decided, or nothing left to compare with
         most, before = 0.6 * self.shared, max(FLOOR, failed / count)
         size = told.failed * failure_step(True, before, 0.15) + good * failure_step(False, before, 0.15)
         self.step(now, told.method, "tallied failures", min(most, size), before)
         newest = max((entry.started_ms for entry in self.ready if entry.build == news.build), default=now)
         if good and failed < count and now - told.age_ms - self.tally_ms >= newest + WARM_UP_MS:
-            mean = total_ms / (count - failed)
-            over = math.log(max(1.0, told.mean_ms) / max(1.0, mean))
+            over = math.log(max(1.0, told.mean_ms * (count - failed)) / max(1.0, total_ms))
             size = speed_step(over, 1.0 / good + 1.0 / (count - failed))
-            self.step(now, told.method, "tallied speed", max(-most, min(most, size)), mean)
+            self.step(now, told.method, "tallied speed", max(-most, min(most, size)), before)
 
     def step(self, now: float, method: int, stream: str, size: float, before: float, node: int = -1,
              most: float = math.inf) -> None:
         limit = self.shared if node < 0 else self.threshold
         news, chart = self.news, self.charts.setdefault((method, stream), Chart(limit))
         chart.step(size, node, most)
-        # Tallies don't name nodes: with one or two on trial, a bad node looks like a bad build. Then they
-        # only withhold on; no chart stands higher than its threshold, so that it can come down.
+        # Tallies don't name nodes, and a bad node looks like a bad build in them: they send back where two
+        # nodes stand in my own charts, or many votes must agree on three; else they only withhold on.
         chart.level = min(chart.level, chart.threshold)
-        sure = node >= 0 or sum(news is not None and one.build == news.build for one in self.ready) > 2
+        trial = [one.node for one in self.ready if news and one.build == news.build]
+        stood = {one for (_, own), its in self.charts.items() if own in stream for one in its.added} - {-1}
+        sure = node >= 0 or len(stood) > 1 or (self.voting.back_votes > 1 and len(trial) > 2)
         if news and sure and chart.level >= chart.threshold and self.crossed is None:
             self.crossed = news.build
             self.acts.append(LogLine(f"back {news.build}: method {method} {stream} {chart.level:.1f} of "
@@ -575,7 +577,8 @@
             return Verdict.BACK
         if news.phase != Phase.ON_TRIAL:
             return Verdict.NONE
-        doubt = any(c.level > 0.5 * c.threshold for c in self.charts.values())
+        hold = 0.2 if self.few else 0.5  # tallies come late and in small numbers: a fifth is doubt enough
+        doubt = any(c.level > hold * c.threshold for c in self.charts.values())
         if voting.gate == Gate.CLOCK:
             return Verdict.HOLD if doubt else Verdict.NONE
         starts = [entry.started_ms for entry in self.ready if entry.build == news.build]
@@ -627,10 +630,8 @@
     def handle(self, now: float, event: Event) -> list[Action]:
         desk, judge = self.desk, self.judge
         match event:
-            case RpcTaken():
-                desk.tell("taken_in", now, event)
-            case PickEnded():
-                desk.tell("ended", now, event)
+            case RpcTaken() | PickEnded() | RpcGone() | NodeList():
+                desk.tell(NOTES[type(event)], now, event)
             case TimerRang(token=token):
                 if token % 4 == BEAT:
                     desk.tell("beat", now)
@@ -638,10 +639,6 @@
                     self.acts.append(SetTimer(BEAT_MS, BEAT))
                 else:
                     desk.tell("rang", now, token // 4, token % 4)
-            case RpcGone():
-                desk.tell("gone", now, event)
-            case NodeList():
-                desk.tell("listing", now, event)
             case Tally():
                 judge.tell("tally", now, event)
             case RolloutNews():
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -139,6 +139,26 @@
             world.trace = [f"answers in {took:.0f} of 1000 ms: {len(back)} of {count} pushed back at once"]
             self.compare(f"late_{took:.0f}", world.trace)
 
+    def test_hundreds_of_marshals_share_a_cold_node(self):
+        trace = []
+        for marshals in (1, 300):
+            sent, every = 0.0, 10.0 * marshals  # one RPC in 10 ms for all of them, of 100 ms each
+            for number in range(marshals):
+                world = World(start(marshals=marshals, seed=number))
+                world.news(1, 2, 1.0, ifc.Phase.RELEASED)
+                world.nodes(*(node(one) for one in range(1, 11)))
+                world.quietly(int(6000.0 / every), gap=every)
+                world.nodes(node(99, started=world.now), kind=ifc.ListKind.DELTA)
+                until = world.now + 2000.0
+                world.trace = []
+                while world.now + every < until:
+                    world.wait(every)
+                    world.end(world.rpc())
+                sent += sum(t.endswith("-> 99") for t in world.trace)
+            trace.append(f"{marshals} marshals: {sent:.0f} picks at a cold node in its first 2 s")
+        trace.append("a warm node takes 20 in that time; the rule allows 3 x a cold node's part of what it could do")
+        self.compare("cold_shared", trace)
+
     def test_cold_node_of_a_slow_build_gets_less(self):
         for took in (100.0, 400.0):
             world = plain()
