--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -157,7 +157,7 @@
                     world.end(world.rpc())
                 sent += sum(t.endswith("-> 99") for t in world.trace)
             trace.append(f"{marshals} marshals: {sent:.0f} picks at a cold node in its first 2 s")
-        trace.append("a warm node takes 20 in that time; the rule allows 3 x a cold node's part of what it could do")
+        trace.append("a warm node takes 20 in that time; the rule allows 3 x a cold node's part of its most")
         self.compare("cold_shared", trace)
 
     def test_cold_node_of_a_slow_build_gets_less(self):
