Late answers shun a node only where a marshal sees few

Where a marshal sees many outcomes the wait shows slowness, and shunning by single late answers emptied small fleets.

--- a/brookreach/decide.py
+++ b/brookreach/decide.py
@@ -180,7 +180,7 @@
                     self.desk.acts.append(LogLine(f"node {entry.node} back"))
         # A long wait tells of this node while few are late, and of no node when all are: then it is a jam.
         if now >= self.shy_until and (ending in (Ending.NO_CONNECT, Ending.ERROR, Ending.RESET) or (
-                calm and slow and ending in (Ending.OK, Ending.TIMEOUT))):
+                calm and slow and (ending == Ending.TIMEOUT or (ending == Ending.OK and self.least_ms > 500.0)))):
             self.shy_ms = min(16.0 * self.least_ms, max(self.least_ms, 2.0 * self.shy_ms))
             self.shy_until = now + self.shy_ms
             self.ails = ERRING if ending == Ending.ERROR else SILENT
