--- a/brookreach/decide.py
+++ b/brookreach/decide.py
@@ -125,9 +125,10 @@
 class Node(Part):
     """One node as this marshal sees it: its picks, its speed, its health, how cold it may be."""
 
-    def __init__(self, due: Due, desk: Desk, entry: NodeEntry, guards: Guards, phase: float, shy_ms: float):
+    def __init__(self, due: Due, desk: Desk, entry: NodeEntry, guards: Guards, phase: float, few: bool):
         super().__init__(due)
-        self.desk, self.guards, self.phase, self.least_ms = desk, guards, phase, shy_ms
+        self.desk, self.guards, self.phase, self.few = desk, guards, phase, few
+        self.least_ms = 4000.0 if few else 500.0
         self.out = 0  # picks that have not ended
         self.renew(entry)
 
@@ -160,8 +161,8 @@
         if not fit:
             return self.desk.tell("bid", now, rpc)
         shy = now < self.shy_until or (self.shy_ms > 0.0 and self.out > 0)
-        # A cold node is held back by its weight in the draw and its room; with a wait it would never win.
-        wait = typical * (self.slow * (1 + self.out) if warm == 1.0 else self.out)
+        # Where I see few, a cold node is held back by weight and room; with a wait it would never win.
+        wait = typical * (self.out if self.few and warm < 1.0 else self.slow * (1 + self.out) / warm)
         self.desk.tell("bid", now, rpc, (entry, self.ails if shy else WELL, wait))
 
     def took(self, cost: float) -> None:
@@ -180,7 +181,7 @@
                     self.desk.acts.append(LogLine(f"node {entry.node} back"))
         # A long wait tells of this node while few are late, and of no node when all are: then it is a jam.
         if now >= self.shy_until and (ending in (Ending.NO_CONNECT, Ending.ERROR, Ending.RESET) or (
-                calm and slow and (ending == Ending.TIMEOUT or (ending == Ending.OK and self.least_ms > 500.0)))):
+                calm and slow and (ending == Ending.TIMEOUT or (ending == Ending.OK and self.few)))):
             self.shy_ms = min(16.0 * self.least_ms, max(self.least_ms, 2.0 * self.shy_ms))
             self.shy_until = now + self.shy_ms
             self.ails = ERRING if ending == Ending.ERROR else SILENT
@@ -209,8 +210,7 @@
         self.survey_at, self.warm_size = now, 0.0
         # What warm nodes carry: cost a ms and unit of size.
         self.rate, self.carried = 0.0, Ring(CARRIED_MS, 16)
-        # Second copies that may be sent now: one for ten RPCs.
-        self.few, self.spare = sees_few(start), 1.0
+        self.few, self.spare = sees_few(start), 1.0  # spare: second copies to send, one for ten RPCs
         self.ends, self.lates = Ring(4000.0, 8), Ring(4000.0, 8)  # picks that ended; those late, or nearly
         self.one_way: dict[int, int] = {}
 
@@ -225,7 +225,7 @@
                 self.nodes[entry.node].tell("listed", entry)
             else:
                 self.nodes[entry.node] = Node(
-                    self.due, self, entry, self.guards, self.chance.random(), 4000.0 if self.few else 500.0)
+                    self.due, self, entry, self.guards, self.chance.random(), self.few)
         self.survey_at = now
         self.judge.tell("listed", [e for e in self.entries.values() if e.state == NodeState.READY])
 
