--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -159,7 +159,7 @@
                         world.end(rpc)
                 sent += sum(t.endswith("-> 99") for t in world.trace)
             trace.append(f"{marshals} marshals: {sent:.0f} picks at a cold node, the only one left, in 2 s")
-        trace.append("200 RPCs were asked in that time; a warm node took 20, and the rule allows 3 x 0.3 of its most")
+        trace.append("200 RPCs came in that time; a warm node took 20; the rule allows 3 x 0.3 of its most")
         self.compare("cold_shared", trace)
 
     def test_cold_node_of_a_slow_build_gets_less(self):
