--- a/brookreach/decide.py
+++ b/brookreach/decide.py
@@ -243,7 +243,7 @@
             self.usual_cost[rpc.method] = usual + 0.02 * (rpc.cost - usual)
         self.acts.append(SetTimer(max(0.0, rpc.end - now - 6.0), 4 * rpc.id + RPC_END))
         late = self.lates.total(now) / (self.ends.total(now) + 1.0)
-        if self.chance.random() < min(0.9, 2.5 * (late - 0.35)):
+        if self.chance.random() < min(0.9, 3.0 * (late - (0.2 if self.few else 0.35))):
             self.give_up(now, rpc)  # at once: what can't be answered in time only makes others late
         else:
             self.tell("ask", now, rpc)
