--- a/brookreach/benchlink/words.py
+++ b/brookreach/benchlink/words.py
@@ -6,81 +6,31 @@
 from collections.abc import Callable
 from typing import Any
 
+from brookreach import facts
 from brookreach import interface as ifc
+from brookreach.facts import to_ms
 
 from .frames import WireError
 
 ENDINGS = {0: ifc.Ending.OK, 5: ifc.Ending.ERROR, 11: ifc.Ending.FULL, 110: ifc.Ending.TIMEOUT,
            111: ifc.Ending.NO_CONNECT, 104: ifc.Ending.RESET, 125: ifc.Ending.CANCELLED, 114: ifc.Ending.MOOT}
 LISTS = {0: ifc.ListKind.FULL, 2: ifc.ListKind.DELTA, 3: ifc.ListKind.FAILED, 4: ifc.ListKind.CACHED}
-REPEATS = {"read_like": ifc.Repeat.IDEMPOTENT, "idempotency_key": ifc.Repeat.TOKENED,
-           "non_idempotent": ifc.Repeat.NON_IDEMPOTENT}
-GROUPS = {"all": ifc.Group.ALL, "zone": ifc.Group.ZONE, "cell": ifc.Group.CELL}
-GATES = {"any": ifc.Gate.ANY, "share": ifc.Gate.SHARE, "timer": ifc.Gate.CLOCK}
-LOADS = {"busy_reqs": ifc.Load.INFLIGHT, "pending": ifc.Load.QUEUED, "cpu_share": ifc.Load.CPU_SHARE,
-         "svc_ms": ifc.Load.SERVICE_MS, "served_ps": ifc.Load.RATE, "failed_ps": ifc.Load.ERROR_RATE}
 LONGEST_TIMER_US = 71 * 60 * 1_000_000
 
 Record = tuple[str, tuple[Any, ...]]
 
 
-def to_ms(us: int) -> float:
-    return us / 1000.0
-
-
 def to_us(ms: float) -> int:
     return round(ms * 1000.0)
 
 
 def start_from(seed: int, text: bytes) -> ifc.Start:
     try:
-        told = json.loads(text)
+        return facts.start_from(seed, json.loads(text))
+    except facts.FactsError as error:
+        raise WireError(str(error)) from None
     except ValueError as error:
         raise WireError(f"settings are not JSON: {error}") from None
-    try:
-        return _start(seed, told)
-    except KeyError as error:
-        raise WireError(f"settings lack or misname {error}") from None
-    except (TypeError, AttributeError, ValueError) as error:
-        raise WireError(f"settings are malformed: {error}") from None
-
-
-def _start(seed: int, told: dict[str, Any]) -> ifc.Start:
-    allowed, family, guarantees, fees = told["allowed"], told["familyInfo"], told["guarantees"], told["fees"]
-    methods = tuple(
-        ifc.Method(m["name"], REPEATS[m["idempotency"]], GROUPS[m["dedupScope"]], to_ms(m["windowUs"]),
-                   to_ms(m["aimUs"]), to_ms(m["hardLimitUs"]), m["worth"], m["lateWorth"],
-                   m.get("aimStretch", 0.0), m["stream"])
-        for m in told["classes"])
-    tenants = tuple(ifc.Tenant(t["name"], t["share"], t["allowancePerS"]) for t in told["tenants"])
-    return ifc.Start(
-        seed=seed,
-        place=ifc.Place(told["myZone"], told["ordinal"], told["balancers"]),
-        methods=methods,
-        tenants=tenants,
-        over_share_utility=told["overShareWorth"],
-        permits=ifc.Permits(allowed["cancel"], allowed["probes"], allowed["secondCopies"], allowed["peers"],
-                            allowed["retryAfter"], to_ms(allowed["maxRetryAfterUs"]), allowed["sendCap"],
-                            allowed["mostHeld"], told["registryMode"] == "ask"),
-        guards=ifc.Guards(to_ms(guarantees["answerSlackUs"]), to_ms(guarantees["askWithinUs"]),
-                          guarantees["coldShare"], to_ms(guarantees["warmWithinUs"]),
-                          to_ms(guarantees["drainGraceUs"]), guarantees["fallMultiple"],
-                          to_ms(guarantees["tipAfterUs"])),
-        exposure=ifc.Exposure(to_ms(family["countedOverUs"]), family["uncounted"],
-                              tuple(family["exposureCaps"]), family["capScope"] == "class",
-                              family["guardedStages"], family["forwardOnly"]),
-        voting=ifc.Voting(GATES[family["gateMode"]], family["toAdvance"], family["toAbort"],
-                          family["holdVotes"], to_ms(family["ballotTtlUs"]),
-                          to_ms(family["answerWaitUs"]), family["voteAllowance"],
-                          to_ms(family["minDwellUs"]), to_ms(family["movesAfterUs"])),
-        rollout=ifc.Rollout(tuple(family["stageShare"]), family["replaceMode"] == "in_place",
-                            to_ms(family["newsPeriodUs"]), to_ms(family["metricsPeriodUs"]),
-                            family["sample"], family["complaintShare"], family.get("warmKeys", False)),
-        prices=ifc.Prices(fees["crossZone"], fees["waste"], fees["probe"], fees["lateFail"],
-                          family["delayPrice"], family["blastPrice"]),
-        reports=() if told["report"]["via"] == "off" else tuple(LOADS[f] for f in told["report"]["fields"]),
-        tick_ms=to_ms(told["tickUs"]),
-    )
 
 
 def entry_from(row: tuple[Any, ...]) -> ifc.NodeEntry:
