--- /dev/null
+++ b/brookreach/net/driver.py
@@ -0,0 +1,195 @@
+"""The one task that owns the module. Others put events into its queue; it keeps timers and hands actions out.
+
+It owns the Marshal, its clock and the table of RPCs that have no final answer, and so sees to it that each
+gets exactly one. It must never decide: an answer is the first ok of a node, or what the module said.
+"""
+
+from __future__ import annotations
+
+import heapq
+import time
+import traceback
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import anyio
+import anyio.lowlevel
+
+from brookreach import interface as ifc
+from brookreach.decide import Marshal
+
+from . import pgwire
+from .clients import Slot
+from .limits import Limits
+from .nodes import Listed, Nodes, PickOutcome
+from .report import Report
+
+
+class Clock:
+    """Unix time in ms, as nodes' starts are told, read once and carried on by the monotonic clock."""
+
+    def __init__(self) -> None:
+        self.offset_ms = (time.time() - time.monotonic()) * 1000.0
+
+    def now(self) -> float:
+        return self.offset_ms + time.monotonic() * 1000.0
+
+
+@dataclass(slots=True)
+class Open:
+    """An RPC that has no final answer yet."""
+
+    statement: pgwire.Statement
+    slot: Slot
+    picks: int = 0
+
+
+class Driver:
+    def __init__(self, start: ifc.Start, limits: Limits, report: Report, clock: Clock):
+        self.start, self.limits, self.report, self.clock = start, limits, report, clock
+        self.methods = {method.name.encode(): at for at, method in enumerate(start.methods)}
+        self.queue: deque[ifc.Event | PickOutcome] = deque()
+        self.timers: list[tuple[float, int, int]] = []  # when, in what order set, token
+        self.set_timers = self.taken = 0
+        self.open: dict[int, Open] = {}
+        self.news: ifc.RolloutNews | None = None
+        self.wake = anyio.Event()
+        self.nodes: Nodes
+        self.vote: Callable[[ifc.Vote], object]
+
+    # --- for other tasks ---
+
+    def put(self, event: ifc.Event | PickOutcome) -> None:
+        self.queue.append(event)
+        self.wake.set()
+
+    def take(self, statement: pgwire.Statement, slot: Slot) -> int:
+        method = self.methods.get(statement.method)
+        if method is None:
+            raise pgwire.BadStatement(b"22023", f"unknown class {statement.method!r}")
+        if len(self.open) >= self.limits.held:
+            raise pgwire.BadStatement(b"54000", "too many RPCs under way")
+        self.taken += 1
+        self.open[self.taken] = Open(statement, slot)
+        self.put(ifc.RpcTaken(self.taken, method, 0, statement.key, self.clock.now() + statement.wait_ms,
+                              statement.cost_ms, statement.repeat, statement.write))
+        return self.taken
+
+    def gone(self, rpc: int) -> None:
+        if self.open.pop(rpc, None) is not None:
+            self.put(ifc.RpcGone(rpc))
+
+    def wanted(self, rpc: int) -> bool:
+        return rpc in self.open
+
+    def told(self, listing: ifc.NodeList, listed: list[Listed]) -> None:
+        self.nodes.listing(listing.kind, listed)
+        self.put(listing)
+
+    # --- the task ---
+
+    def begin(self) -> None:
+        """A new life of the module: at the start, and again if it fails."""
+        self.timers.clear()
+        self.marshal = Marshal(self.start)
+        self._carry_out(self.marshal.begin(self.clock.now()))
+
+    async def run(self) -> None:
+        while True:
+            for _ in range(self.limits.burst):
+                if not self._one():
+                    break
+            else:
+                await anyio.lowlevel.checkpoint()  # others have their turn
+                continue
+            self.wake = anyio.Event()
+            if self.timers:
+                with anyio.move_on_after(max(0.0, self.timers[0][0] - self.clock.now()) / 1000.0):
+                    await self.wake.wait()
+            else:
+                await self.wake.wait()
+
+    def _one(self) -> bool:
+        """Handle what is due: one event, and one timer so that a burst of events starves none."""
+        now, did = self.clock.now(), False
+        if self.timers and self.timers[0][0] <= now:
+            self._handle(now, ifc.TimerRang(heapq.heappop(self.timers)[2]))
+            did = True
+        if self.queue:
+            event = self.queue.popleft()
+            self._handle(self.clock.now(), self._ended(event) if isinstance(event, PickOutcome) else event)
+            did = True
+        return did
+
+    def _ended(self, outcome: PickOutcome) -> ifc.PickEnded:
+        """The first ok goes to the client at once; the module hears that it was final."""
+        rpc, ending = outcome.rpc, outcome.ending
+        if ending == ifc.Ending.OK and rpc in self.open:
+            self.open.pop(rpc).slot.answer([*outcome.answer, pgwire.READY])
+        final = rpc not in self.open
+        return ifc.PickEnded(rpc, outcome.nth, outcome.node, ending, final, outcome.took_ms, {})
+
+    def _handle(self, now: float, event: ifc.Event) -> None:
+        if isinstance(event, ifc.RolloutNews) and event.ending == ifc.Ending.OK:
+            if self.news is None or event.cap < self.news.cap or event.build != self.news.build:
+                self.nodes.cap_fell(event.build)
+            self.news = event
+        try:
+            actions = self.marshal.handle(now, event)
+        except Exception:
+            self._failed(traceback.format_exc(limit=-2))
+            return
+        self._carry_out(actions)
+
+    def _failed(self, trace: str) -> None:
+        """The module failed: its state can't be trusted. What it held is aborted, which promises nothing, and
+        it begins a new life with what is known of nodes and builds, as after a restart."""
+        self.report.say("fault", trace)
+        for rpc in list(self.open):
+            self._answer(rpc, pgwire.error(b"XX000", "aborted"))
+        self.begin()
+        entries = tuple(spot.listed.entry for spot in self.nodes.spots.values())
+        self._carry_out(self.marshal.handle(self.clock.now(), ifc.NodeList(ifc.ListKind.CACHED, 0, entries)))
+        if self.news is not None:
+            self._carry_out(self.marshal.handle(self.clock.now(), self.news))
+
+    def _answer(self, rpc: int, answer: bytes) -> None:
+        held = self.open.pop(rpc, None)
+        if held is not None:
+            held.slot.answer([answer])
+
+    def _carry_out(self, actions: list[ifc.Action]) -> None:
+        for action in actions:
+            match action:
+                case ifc.Pick():
+                    self._pick(action)
+                case ifc.PushBack():
+                    detail = str(round(action.come_back_ms)) if action.come_back_ms > 0.0 else ""
+                    self._answer(action.rpc, pgwire.error(pgwire.PUSHED_BACK, "pushed back", detail))
+                case ifc.Abort():
+                    self._answer(action.rpc, pgwire.error(b"XX000", "aborted"))
+                case ifc.CancelPick():
+                    self.nodes.cancel(action.rpc, action.nth)
+                case ifc.SetTimer():
+                    self.set_timers += 1
+                    due = self.clock.now() + action.delay_ms
+                    heapq.heappush(self.timers, (due, self.set_timers, action.token))
+                case ifc.Vote():
+                    self.vote(action)
+                case ifc.Probe():
+                    self.nodes.probe(action.node)
+                case ifc.CloseIdle():
+                    self.nodes.close_idle(action.node)
+                case ifc.LogLine():
+                    self.report.say("module", action.text)
+                case _:
+                    self.report.say("driver", f"this protocol has no form for {type(action).__name__}")
+
+    def _pick(self, pick: ifc.Pick) -> None:
+        held = self.open.get(pick.rpc)
+        if held is None:  # its client left in the same moment
+            self.put(PickOutcome(pick.rpc, 0, pick.node, ifc.Ending.MOOT, 0.0, []))
+            return
+        held.picks += 1
+        self.nodes.pick(pick, held.picks - 1, held.statement)
--- /dev/null
+++ b/brookreach/net/http.py
@@ -0,0 +1,80 @@
+"""One HTTP/1.1 connection as a client: h11 over a stream.
+
+It owns what is left to read of an answer. It must never try a call again: the caller knows what that means.
+"""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+
+import h11
+
+from .stream import Ended, Stream
+
+PIECE = 64 * 1024
+
+
+class NotHttp(Exception):
+    """What came back can't be read."""
+
+
+class Http:
+    def __init__(self, stream: Stream, host: str):
+        self.stream, self.host = stream, host
+        self.wire = h11.Connection(h11.CLIENT)
+        self.space = memoryview(bytearray(PIECE))
+        self.written = False
+
+    @classmethod
+    async def connect(cls, to: tuple[str, int]) -> Http:
+        return cls(await Stream.connect(to), f"{to[0]}:{to[1]}")
+
+    async def ask(self, method: str, target: str, body: bytes = b"") -> int:
+        """The answer's status; its body is read by `pieces`."""
+        headers = [("Host", self.host), ("Accept", "application/json")]
+        if body:
+            headers += [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
+        self.written = False
+        events: list[h11.Event] = [h11.Request(method=method, target=target, headers=headers)]
+        events += [h11.Data(data=body)] if body else []
+        await self.stream.send([self.wire.send(event) or b"" for event in [*events, h11.EndOfMessage()]])
+        self.written = True
+        while True:
+            event = await self._next()
+            if isinstance(event, h11.Response):
+                return event.status_code
+            if not isinstance(event, h11.InformationalResponse):
+                raise NotHttp(f"{type(event).__name__} instead of an answer")
+
+    async def pieces(self) -> AsyncIterator[bytes]:
+        while True:
+            event = await self._next()
+            if isinstance(event, h11.Data):
+                yield bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                if self.wire.our_state is h11.DONE and self.wire.their_state is h11.DONE:
+                    self.wire.start_next_cycle()
+                return
+            else:
+                raise Ended("the answer broke off")
+
+    async def body(self, most: int) -> bytes:
+        parts, size = [], 0
+        async for part in self.pieces():
+            size += len(part)
+            if size > most:
+                raise NotHttp("an endless body")
+            parts.append(part)
+        return b"".join(parts)
+
+    async def _next(self) -> h11.Event | type[h11.PAUSED]:
+        try:
+            while (event := self.wire.next_event()) is h11.NEED_DATA:
+                count = await self.stream.receive(self.space)
+                self.wire.receive_data(bytes(self.space[:count]))
+        except h11.RemoteProtocolError as error:
+            raise NotHttp(str(error)) from None
+        return event  # type: ignore[return-value]
+
+    def close(self) -> None:
+        self.stream.close()
