--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+# Build, test, lint and run; .ci/run and the README use these.
+PY := .venv/bin/python
+SOURCES := $(shell find brookreach -name '*.py')
+# What every RPC passes through is compiled; the rest is copied beside it.
+COMPILED := interface.py decide.py facts.py benchlink/frames.py benchlink/words.py benchlink/host.py \
+	net/limits.py net/pgwire.py net/stream.py net/report.py net/nodes.py net/clients.py net/driver.py
+
+.PHONY: build test lint run clean
+
+build: build/stamp
+
+.venv/stamp: requirements.txt
+	python3 -m venv .venv
+	.venv/bin/pip -q install -r requirements.txt
+	touch $@
+
+build/stamp: .venv/stamp Makefile pyproject.toml $(SOURCES)
+	rm -rf build/lib
+	mkdir -p build/lib
+	cp -r brookreach pyproject.toml build/lib/
+	cd build/lib && MYPYC_OPT_LEVEL=2 ../../.venv/bin/mypyc $(addprefix brookreach/,$(COMPILED)) > ../mypyc.log 2>&1 \
+		|| { cat ../mypyc.log >&2; exit 1; }
+	rm -rf build/lib/build
+	touch $@
+
+test: .venv/stamp
+	$(PY) -m unittest discover -s tests -t .
+
+lint: .venv/stamp
+	$(PY) -m ruff check brookreach tests
+	$(PY) -m mypy
+
+# One real marshal; PROXY_CONFIG names its configuration.
+run: build
+	cd build/lib && exec ../../.venv/bin/python -m brookreach
+
+clean:
+	rm -rf build .venv
--- a/brookreach/__main__.py
+++ b/brookreach/__main__.py
@@ -25,7 +25,7 @@
 from brookreach.net.nodes import Nodes
 from brookreach.net.platform import Platform, news_from
 from brookreach.net.report import Report
-from brookreach.net.stream import address, listen
+from brookreach.net.stream import Poller, address
 
 
 class BadStart(Exception):
@@ -61,9 +61,9 @@
             self.at, self.discovery_at = told["listen"], address(told["discovery"])
             address(self.at)
             self.report = Report(str(told["name"]), self.limits.lines)
-            self.driver = Driver(start, self.limits, self.report, Clock())
-            self.nodes = Nodes(self.limits, self.report, self.driver.put, self.driver.wanted)
-            self.driver.nodes = self.nodes
+            self.poller = Poller(self.limits.burst)
+            self.driver = Driver(start, self.limits, self.report, Clock(),
+                                 lambda owner: Nodes(self.limits, self.report, self.poller, owner))
             self.discovery = Discovery(self.limits, self.report, settings["zones"], settings["skus"],
                                        self.driver.told)
             self.platform = Platform(self.limits, self.report, [method.name for method in start.methods],
@@ -81,14 +81,13 @@
 
     async def run(self) -> None:
         try:
-            listener = listen(self.at)
+            clients = Clients(self.limits, self.report, self.poller, self.driver, self.at)
         except OSError as error:
             raise BadStart(f"can't listen on {self.at}: {error}") from None
-        clients = Clients(self.limits, self.report, self.driver, listener)
+        self.driver.between = clients.catch_up
         async with anyio.create_task_group() as tasks:
-            self.nodes.tasks = clients.tasks = tasks
             self.driver.vote = lambda vote: tasks.start_soon(self.platform.vote, vote)
-            for task in (self.driver.run, clients.accept, self.nodes.sweep, self.platform.follow):
+            for task in (self.driver.run, self.poller.run, self.sweep, self.platform.follow):
                 tasks.start_soon(task)
             tasks.start_soon(self.discovery.follow, self.discovery_at)
             self.report.say("marshal", f"serves on {self.at}")
@@ -101,10 +100,17 @@
             tasks.cancel_scope.cancel()
 
 
+    async def sweep(self) -> None:
+        while True:
+            await anyio.sleep(self.limits.sweep_s)
+            self.driver.nodes.sweep()
+
+
 def main() -> int:
     try:
         parts = Parts(configuration(os.environ))
         gc.freeze()  # what stands now stays: collections need not look at it
+        gc.set_threshold(parts.limits.garbage)
         anyio.run(parts.run)
     except BadStart as error:
         print(f"brookreach: {error}", file=sys.stderr)
--- a/brookreach/decide.py
+++ b/brookreach/decide.py
@@ -12,6 +12,7 @@
 
 import math
 import random
+from bisect import bisect
 from collections import deque
 from dataclasses import replace
 from itertools import accumulate
@@ -25,32 +26,39 @@
 BACKWARDS = (Phase.GOING_BACK, Phase.WITHDRAWN)
 NEVER_RAN = (Ending.FULL, Ending.NO_CONNECT, Ending.MOOT)
 WELL, ERRING, SILENT = 0, 1, 2  # how sick a node is
-FLOOR = 0.02  # of the before-rate
+FLOOR, BEAT_MS, HOLD_MS = 0.02, 250.0, 50.0  # FLOOR: of the before-rate
 WARM_UP_MS, CARRIED_MS = 3000.0, 4000.0  # a trial node's; over the other a warm node shows what it carries
 FEW, MORE = 2, 12  # nodes drawn for an RPC at first, and when none of the few can take it
 RPC_END, RPC_COPY, BEAT, RPC_HELD = 0, 1, 2, 3  # what a timer is for; its token is 4 x RPC + one of these
 NOTES = {RpcTaken: "taken_in", PickEnded: "ended", RpcGone: "gone", NodeList: "listing"}
-BEAT_MS, HOLD_MS = 250.0, 50.0
 
 
 class Ring:
     """A sum over a sliding time, in fixed buckets that are used again."""
 
     def __init__(self, span_ms: float, buckets: int = 40):
-        self.width, self.buckets = span_ms / buckets, buckets
+        self.width, self.buckets, self.mark, self.at = span_ms / buckets, buckets, -1, 0
         self.sums, self.marks = [0.0] * (buckets + 1), [-1] * (buckets + 1)
+        self.past, self.oldest = 0.0, 0.0  # of all buckets but the newest; of the oldest
 
-    def add(self, now: float, amount: float = 1.0) -> None:
+    def roll(self, now: float) -> None:
+        """Sums are made once a bucket: they are asked for at every event."""
         mark = int(now // self.width)
-        at = mark % (self.buckets + 1)
-        if self.marks[at] != mark:
-            self.marks[at], self.sums[at] = mark, 0.0
-        self.sums[at] += amount
+        if mark != self.mark:
+            low = mark - self.buckets
+            self.past = sum([s for s, m in zip(self.sums, self.marks, strict=True) if low <= m < mark])
+            self.oldest = sum([s for s, m in zip(self.sums, self.marks, strict=True) if m == low])
+            self.mark, self.at = mark, mark % (self.buckets + 1)
+            self.marks[self.at], self.sums[self.at] = mark, 0.0
+
+    def add(self, now: float, amount: float = 1.0) -> None:
+        self.roll(now)
+        self.sums[self.at] += amount
 
     def total(self, now: float, inner: bool = False) -> float:
         """The sum of the span and the rest of its oldest bucket; `inner` leaves that bucket out."""
-        oldest = int(now // self.width) - self.buckets + inner
-        return sum(s for s, m in zip(self.sums, self.marks, strict=True) if m >= oldest)
+        self.roll(now)
+        return self.past + self.sums[self.at] - (self.oldest if inner else 0.0)
 
 
 Due = deque[Any]  # the loop's order of work: a part, once for each note in its inbox
@@ -94,10 +102,8 @@
         return True
     if rpc.facts.repeat == Repeat.NON_IDEMPOTENT or (rpc.pending() and not copies):
         return False
-    if rpc.facts.repeat == Repeat.IDEMPOTENT:
-        return True
     group, window = rpc.facts.group, rpc.facts.token_ms
-    return all(now < sent + window and (group == Group.ALL or (
+    return rpc.facts.repeat == Repeat.IDEMPOTENT or all(now < sent + window and (group == Group.ALL or (
         entry.zone == old.zone and (group == Group.ZONE or entry.cell == old.cell))) for old, sent, _ in ran)
 
 
@@ -119,7 +125,8 @@
         self.entries, self.sums = [e for e, _ in able], list(accumulate(can for _, can in able))
 
     def draw(self, chance: random.Random, most: int) -> list[NodeEntry]:
-        return chance.choices(self.entries, cum_weights=self.sums, k=most) if self.entries else []
+        return [self.entries[bisect(self.sums, chance.random() * self.sums[-1], 0, len(self.sums) - 1)]
+                for _ in range(most)] if self.entries else []
 
 
 class Node(Part):
@@ -128,16 +135,14 @@
     def __init__(self, due: Due, desk: Desk, entry: NodeEntry, guards: Guards, phase: float, few: bool):
         super().__init__(due)
         self.desk, self.guards, self.phase, self.few = desk, guards, phase, few
-        self.least_ms = 4000.0 if few else 500.0
-        self.out = 0  # picks that have not ended
+        self.least_ms, self.out = 4000.0 if few else 500.0, 0  # out: picks that have not ended
         self.renew(entry)
 
     def renew(self, entry: NodeEntry) -> None:
         self.entry = entry
         # A node that comes cold may run a build that needs more work: twice until its answers tell.
         self.slow = 2.0 if entry.started_ms else 1.0
-        self.shy_until, self.shy_ms, self.ails = 0.0, 0.0, WELL
-        self.room, self.room_at = 0.0, 0.0
+        self.shy_until, self.shy_ms, self.ails, self.room, self.room_at = 0.0, 0.0, WELL, 0.0, 0.0
 
     def listed(self, entry: NodeEntry) -> None:
         if (entry.started_ms, entry.build) != (self.entry.started_ms, self.entry.build):
@@ -220,12 +225,11 @@
             gone = {key: replace(old, state=NodeState.GONE) for key, old in self.entries.items()}
             changed = gone | changed
         self.entries |= changed
-        for entry in changed.values():
-            if entry.node in self.nodes:
-                self.nodes[entry.node].tell("listed", entry)
+        for one in changed.values():
+            if one.node in self.nodes:
+                self.nodes[one.node].tell("listed", one)
             else:
-                self.nodes[entry.node] = Node(
-                    self.due, self, entry, self.guards, self.chance.random(), self.few)
+                self.nodes[one.node] = Node(self.due, self, one, self.guards, self.chance.random(), self.few)
         self.survey_at = now
         self.judge.tell("listed", [e for e in self.entries.values() if e.state == NodeState.READY])
 
@@ -317,7 +321,7 @@
             some = (well or rpc.bids)[:2 * FEW]
             self.send(now, rpc, min(some, key=lambda b: (
                 b[2] * (1.0 if b[0].zone == self.place.zone else far)))[0])
-        else:
+        elif not rpc.pending():
             self.hold(now, rpc)
 
     def on_trial(self, build: int) -> bool:
@@ -353,8 +357,6 @@
 
     def hold(self, now: float, rpc: Rpc) -> None:
         """No node can take it now: keep it while it can still be answered in time, else say so at once."""
-        if rpc.pending():
-            return
         if now + 0.4 * rpc.facts.soft_ms > rpc.soft or len(rpc.picks) >= self.permits.max_picks:
             self.give_up(now, rpc)
         else:
@@ -393,8 +395,7 @@
         if rpc is None or event.nth >= len(rpc.picks):
             return
         pick = rpc.picks[event.nth]
-        pick[2] = event.ending
-        entry = pick[0]
+        entry, pick[2] = pick[0], event.ending
         self.nodes[entry.node].tell("ended", now, event, self.typical(rpc), rpc.facts.soft_ms,
                                      self.lates.total(now) < 0.35 * (self.ends.total(now) + 1.0))
         if event.ending == Ending.OK:
--- a/brookreach/net/clients.py
+++ b/brookreach/net/clients.py
@@ -9,16 +9,16 @@
 import contextlib
 import socket
 from collections import deque
-from collections.abc import Callable
 from typing import Protocol
 
 import anyio
-from anyio.abc import TaskGroup
 
 from . import pgwire
 from .limits import Limits
 from .report import Report
-from .stream import Ended, Stream
+from .stream import IN, Expiring, Listener, Poller, Stream
+
+EXTENDED = (b"P", b"B", b"D", b"E", b"C", b"H")  # of the extended protocol, all but Sync
 
 
 class Taker(Protocol):
@@ -28,117 +28,115 @@
 
     def gone(self, rpc: int) -> None: ...
 
+    def alarm(self, delay_ms: float, what: Expiring) -> None: ...
+
 
 class Slot:
     """The place of one answer in the order of its connection."""
 
-    __slots__ = ("client", "rpc", "buffers")
-
-    def __init__(self, client: Client):
-        self.client = client
-        self.rpc: int | None = None
-        self.buffers: list[bytes] | None = None
+    def __init__(self, client: Client) -> None:
+        self.client, self.rpc = client, 0
+        self.buffers: list[bytes | memoryview] | None = None
 
-    def answer(self, buffers: list[bytes]) -> None:
+    def answer(self, buffers: list[bytes | memoryview]) -> None:
         assert self.buffers is None  # one answer
         self.buffers = buffers
         self.client.flush()
 
 
-class Client:
+class Client(Stream):
     """One client connection."""
 
-    def __init__(self, sock: socket.socket, home: Clients):
-        self.stream, self.home = Stream(sock), home
-        self.inbound = pgwire.Inbound(home.limits.message)
+    def __init__(self, sock: socket.socket, home: Clients) -> None:
+        super().__init__(home.poller, sock, home.limits.message)
+        self.home = home
         self.slots: deque[Slot] = deque()
-        self.rest: list[bytes | memoryview] = []  # answered, and not taken by the kernel yet
-        self.writing = False
+        self.started = False  # the startup message has come
+        self.skipping = False  # after an error in the extended protocol, until Sync
         self.leaving = False  # we have ended our side
-        self.room = anyio.Event()
+        self.stuck = 0  # how often an alarm has found the same answer not taken
+        home.taker.alarm(home.limits.startup_s * 1000.0, self)
 
     # --- reading ---
 
-    async def serve(self) -> None:
-        try:
-            with anyio.move_on_after(self.home.limits.startup_s) as scope:
-                await self._startup()
-            if not scope.cancelled_caught:
-                await self._queries()
-        except Ended:
-            pass
-        except pgwire.BrokenStream as error:
-            self.home.report.say("client", f"not the protocol: {error}")
-            self._last(pgwire.error(b"08P01", str(error), fatal=True))
-        finally:
-            for slot in self.slots:
-                if slot.rpc is not None and slot.buffers is None:
-                    self.home.taker.gone(slot.rpc)
-            self.slots.clear()
-            self.stream.close()
-
-    async def _startup(self) -> None:
-        while True:
-            body = self.inbound.startup()
-            if body is None:
-                if len(self.inbound) > self.home.limits.head:
-                    raise pgwire.BrokenStream("an endless startup message")
-                await self.stream.fill(self.inbound)
-                continue
-            code = pgwire.INT.unpack_from(body)[0] if len(body) >= 4 else 0
-            if code in (pgwire.SSL, pgwire.GSSENC):
-                self._say([b"N"])
-            elif code == pgwire.CANCEL:
-                raise Ended("a cancel request, which this protocol has no use for")
-            elif code >> 16 == 3:
-                self._say([pgwire.WELCOME])
-                return
-            else:
-                raise pgwire.BrokenStream(f"unknown startup code {code}")
-
-    async def _queries(self) -> None:
-        skipping = False  # after an error in the extended protocol, until Sync
-        while True:
-            message = self.inbound.message()
-            if message is None:
-                await self.stream.fill(self.inbound)
-                continue
-            tag, body = message
-            if self.leaving:
-                continue  # it crossed our closing: the client sends it again elsewhere
-            if tag == b"X":
-                return
-            if tag == b"Q":
-                self._query(body)
-            elif tag == b"S":
-                skipping = False
-                self._in_order(pgwire.READY)
-            elif tag in (b"P", b"B", b"D", b"E", b"C", b"H", b"F"):
-                if not skipping and tag != b"H":
-                    skipping = tag != b"F"
-                    refusal = pgwire.error(b"0A000", "simple queries only")
-                    self._in_order(refusal[:-len(pgwire.READY)] if skipping else refusal)
+    def came(self) -> None:
+        while not self.closed and len(self.slots) < self.home.limits.pipelined:
+            if not self.started:
+                body = self.inbound.startup()
+                if body is None:
+                    if len(self.inbound) > self.home.limits.head:
+                        raise pgwire.BrokenStream("an endless startup message")
+                    return
+                self._startup(body)
             else:
-                raise pgwire.BrokenStream(f"unknown message {tag!r}")
-            while len(self.slots) >= self.home.limits.pipelined:
-                self.room = anyio.Event()
-                await self.room.wait()
+                message = self.inbound.message()
+                if message is None:
+                    return
+                if not self.leaving:  # else it crossed our closing: the client sends it again elsewhere
+                    self._message(message[0], message[1])
+        if not self.closed:
+            self.reading = False  # enough under way; `flush` goes on reading
+            self.interest()
+
+    def _startup(self, body: memoryview) -> None:
+        code = pgwire.INT.unpack_from(body)[0] if len(body) >= 4 else 0
+        if code in (pgwire.SSL, pgwire.GSSENC):
+            self.send([b"N"])
+        elif code == pgwire.CANCEL:
+            self.broke("a cancel request, which this protocol has no use for")
+        elif code >> 16 == 3:
+            self.started = True
+            self.send([pgwire.WELCOME])
+        else:
+            raise pgwire.BrokenStream(f"unknown startup code {code}")
+
+    def _message(self, tag: bytes, body: memoryview) -> None:
+        if tag == b"Q":
+            self._query(body)
+        elif tag == b"X":
+            self.broke("terminated")
+        elif tag == b"S":
+            self.skipping = False
+            self._in_order(pgwire.READY)
+        elif tag == b"F":
+            self._in_order(pgwire.error(b"0A000", "no function calls"))
+        elif tag not in EXTENDED:
+            raise pgwire.BrokenStream(f"unknown message {tag!r}")
+        elif not self.skipping:
+            self.skipping = True
+            self._in_order(pgwire.error(b"0A000", "simple queries only", ready=False))
 
     def _query(self, body: memoryview) -> None:
-        text = body[:-1] if body and body[-1] == 0 else body
+        text = body[:-1] if len(body) and body[-1] == 0 else body
         done = pgwire.harmless(text)
         if done is not None:
             self._in_order(done)
             return
+        slot = Slot(self)
         try:
-            statement = pgwire.statement(text, self.home.limits.comment)
-            slot = Slot(self)
-            slot.rpc = self.home.taker.take(statement, slot)
+            slot.rpc = self.home.taker.take(pgwire.statement(text, self.home.limits.comment), slot)
             self.slots.append(slot)
         except pgwire.BadStatement as error:
             self.home.report.say("client", f"statement not taken: {error}")
             self._in_order(pgwire.error(error.state, str(error)))
 
+    def broke(self, why: str) -> None:
+        if why.startswith("not the protocol"):
+            self.home.report.say("client", why)
+            with contextlib.suppress(OSError):
+                self.send([pgwire.error(b"08P01", why, ready=False)])
+        self.end()
+
+    def end(self) -> None:
+        if self.closed:
+            return
+        self.close()
+        for slot in self.slots:
+            if slot.rpc and slot.buffers is None:
+                self.home.taker.gone(slot.rpc)
+        self.slots.clear()
+        self.home.left(self)
+
     # --- writing ---
 
     def _in_order(self, answer: bytes) -> None:
@@ -148,120 +146,95 @@
 
     def flush(self) -> None:
         """Write what is answered, up to the first RPC that is not."""
-        ready: list[bytes] = []
+        ready: list[bytes | memoryview] = []
         while self.slots and self.slots[0].buffers is not None:
-            ready += self.slots.popleft().buffers or []
-        self.room.set()
-        if ready:
-            self._say(ready)
-        if self.home.stopping and not self.slots:
-            self.leave()
-
-    def _say(self, buffers: list[bytes]) -> None:
-        """At once as far as the kernel takes it; the rest by a task of its own."""
-        if self.stream.closed:
-            return
-        self.rest += buffers
-        if self.writing:
+            ready.extend(self.slots.popleft().buffers or [])
+        if not ready or self.closed:
             return
         try:
-            self.rest = self.stream.push(self.rest)
-        except Ended:
-            self.rest = []  # reading will see it too
+            self.send(ready)
+        except OSError:
+            self.end()
             return
-        if self.rest:
-            self.writing = True
-            self.home.spawn(self._write)
+        if self.rest and not self.stuck:
+            self.stuck = 1
+            self.home.taker.alarm(self.home.limits.stuck_s * 1000.0, self)
+        if not self.reading:
+            self.reading = True
+            self.interest()
+            self.home.again.append(self)
+        if self.home.stopping and not self.slots:
+            self.leave()
 
-    async def _write(self) -> None:
-        try:
-            while self.rest:
-                going, self.rest = self.rest, []
-                with anyio.move_on_after(self.home.limits.stuck_s) as scope:
-                    await self.stream.send(going)
-                if scope.cancelled_caught:
-                    self.stream.close()  # it takes nothing: it has gone
-                    return
-        except Ended:
-            return
-        finally:
-            self.writing = False
+    def emptied(self) -> None:
+        self.stuck = 0
         if self.leaving:
-            self.stream.end_sending()
+            self.end_sending()
 
-    def _last(self, answer: bytes) -> None:
-        with contextlib.suppress(Ended):
-            self.stream.push([*self.rest, answer])
+    def expire(self) -> None:
+        """No startup in time, or an answer that it does not take: it has gone."""
+        if not self.closed and (not self.started or (self.stuck and self.rest)):
+            self.end()
 
     def leave(self) -> None:
         """End our side between RPCs and read on: a reset could overtake the last answer."""
         if not self.leaving:
             self.leaving = True
-            if not self.rest and not self.writing:
-                self.stream.end_sending()
+            if not self.rest:
+                self.end_sending()
 
 
-class Clients:
-    def __init__(self, limits: Limits, report: Report, taker: Taker, listener: socket.socket):
-        self.limits, self.report, self.taker, self.listener = limits, report, taker, listener
+class Clients(Listener):
+    def __init__(self, limits: Limits, report: Report, poller: Poller, taker: Taker, at: str) -> None:
+        super().__init__(poller, at)
+        self.limits, self.report, self.taker = limits, report, taker
         self.open: set[Client] = set()
+        self.again: list[Client] = []  # to be looked at again for RPCs that have come already
         self.stopping = False
-        self.tasks: TaskGroup | None = None
-        self.left = anyio.Event()
-
-    def spawn(self, task: Callable) -> None:  # type: ignore[type-arg]
-        assert self.tasks is not None
-        self.tasks.start_soon(task)
-
-    async def accept(self) -> None:
-        while True:
-            if len(self.open) >= self.limits.clients:
-                self.report.say("clients", f"{len(self.open)} connections: accepting waits")
-                self.left = anyio.Event()
-                await self.left.wait()
-                continue
-            try:
-                if not self._accept_one():
-                    await anyio.wait_readable(self.listener)
-            except anyio.ClosedResourceError:
-                return
-            except OSError as error:
-                if self.listener.fileno() < 0:
-                    return
-                self.report.say("clients", f"accepting waits: {error}")  # out of descriptors or buffers
-                await anyio.sleep(self.limits.again_s)
+        self.waiting = False  # for a connection to end before more are accepted
+        self.one_left = anyio.Event()
+        poller.watch(self, IN)
 
-    def _accept_one(self) -> bool:
+    def ready(self, mask: int) -> None:
         try:
-            sock, _ = self.listener.accept()
-        except (BlockingIOError, ConnectionAbortedError):
-            return False
-        client = Client(sock, self)
-        self.open.add(client)
-        assert self.tasks is not None
-        self.tasks.start_soon(self._serve, client)
-        return True
-
-    async def _serve(self, client: Client) -> None:
-        try:
-            await client.serve()
-        finally:
-            self.open.discard(client)
-            self.left.set()
+            while len(self.open) < self.limits.clients:
+                sock = self.accept()
+                if sock is None:
+                    return
+                self.open.add(Client(sock, self))
+            self.report.say("clients", f"{len(self.open)} connections: accepting waits")
+        except OSError as error:
+            self.report.say("clients", f"accepting waits: {error}")  # out of descriptors or buffers
+        self.waiting = True
+        self.poller.watch(self, 0)
+
+    def left(self, client: Client) -> None:
+        self.open.discard(client)
+        self.one_left.set()
+        if self.waiting and not self.closed:
+            self.waiting = False
+            self.poller.watch(self, IN)
+
+    def catch_up(self) -> None:
+        """Take the RPCs that came while their connection had enough under way."""
+        again, self.again = self.again, []
+        for client in again:
+            if not client.closed:
+                try:
+                    client.came()
+                except pgwire.BrokenStream as error:
+                    client.broke(f"not the protocol: {error}")
 
     async def stop(self) -> None:
         """Take what still comes for a moment, finish what is under way, end the rest between RPCs."""
         await anyio.sleep(self.limits.linger_s)
-        while len(self.open) < self.limits.clients and self._accept_one():
-            pass  # the kernel has taken these for us
-        anyio.notify_closing(self.listener)
-        self.listener.close()
-        await anyio.lowlevel.checkpoint()
+        self.ready(IN)  # the kernel has taken these for us
+        self.close()
         self.stopping = True
         for client in list(self.open):
             if not client.slots:
                 client.leave()
         with anyio.move_on_after(self.limits.drain_s - self.limits.linger_s):
             while self.open:
-                self.left = anyio.Event()
-                await self.left.wait()
+                self.one_left = anyio.Event()
+                await self.one_left.wait()
--- a/brookreach/net/discovery.py
+++ b/brookreach/net/discovery.py
@@ -14,11 +14,11 @@
 
 from brookreach import interface as ifc
 
-from .http import Http, NotHttp
+from .http import LOST, Http, NotHttp
 from .limits import Limits
 from .nodes import Listed
 from .report import Report
-from .stream import Ended, address
+from .stream import address
 
 STATES = {"active": ifc.NodeState.READY, "leaving": ifc.NodeState.DRAINING, "left": ifc.NodeState.GONE}
 PATH = "/registry/instances"
@@ -67,8 +67,8 @@
                         target = f"{PATH}?after={self.version}&wait_ms={round(wait * 1000.0)}"
                         await self._call(http, target, wait + self.limits.answer_s)
                 finally:
-                    http.close()
-            except (OSError, Ended, NotHttp, TimeoutError, *BAD_JSON) as error:
+                    await http.close()
+            except (*LOST, TimeoutError, *BAD_JSON) as error:
                 self.report.say("discovery", f"lost, asked again: {type(error).__name__} {error}")
             await anyio.sleep(pause)
             pause = min(2.0 * pause, self.limits.again_most_s)
--- a/brookreach/net/driver.py
+++ b/brookreach/net/driver.py
@@ -11,7 +11,6 @@
 import traceback
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import anyio
 import anyio.lowlevel
@@ -24,6 +23,7 @@
 from .limits import Limits
 from .nodes import Listed, Nodes, PickOutcome
 from .report import Report
+from .stream import Expiring
 
 
 class Clock:
@@ -36,27 +36,27 @@
         return self.offset_ms + time.monotonic() * 1000.0
 
 
-@dataclass(slots=True)
 class Open:
     """An RPC that has no final answer yet."""
 
-    statement: pgwire.Statement
-    slot: Slot
-    picks: int = 0
+    def __init__(self, statement: pgwire.Statement, slot: Slot) -> None:
+        self.statement, self.slot, self.picks = statement, slot, 0
 
 
 class Driver:
-    def __init__(self, start: ifc.Start, limits: Limits, report: Report, clock: Clock):
+    def __init__(self, start: ifc.Start, limits: Limits, report: Report, clock: Clock,
+                 nodes: Callable[[Driver], Nodes]) -> None:
         self.start, self.limits, self.report, self.clock = start, limits, report, clock
         self.methods = {method.name.encode(): at for at, method in enumerate(start.methods)}
         self.queue: deque[ifc.Event | PickOutcome] = deque()
-        self.timers: list[tuple[float, int, int]] = []  # when, in what order set, token
+        self.timers: list[tuple[float, int, int | Expiring]] = []  # when, in what order set, token or alarm
         self.set_timers = self.taken = 0
         self.open: dict[int, Open] = {}
         self.news: ifc.RolloutNews | None = None
         self.wake = anyio.Event()
-        self.nodes: Nodes
-        self.vote: Callable[[ifc.Vote], object]
+        self.nodes = nodes(self)
+        self.vote: Callable[[ifc.Vote], object] = self.put_off
+        self.between: Callable[[], None] | None = None  # called when the queue is empty
 
     # --- for other tasks ---
 
@@ -64,6 +64,18 @@
         self.queue.append(event)
         self.wake.set()
 
+    def put_off(self, vote: ifc.Vote) -> None:
+        """A vote before the platform's part has started: it may be said again."""
+        self.put(ifc.RolloutNews(True, ifc.Ending.NO_CONNECT, vote.stage, 0.0, ifc.Phase.ON_TRIAL, 0.0,
+                                 vote.build))
+
+    def alarm(self, delay_ms: float, what: Expiring) -> None:
+        self._at(delay_ms, what)
+
+    def _at(self, delay_ms: float, what: int | Expiring) -> None:
+        self.set_timers += 1
+        heapq.heappush(self.timers, (self.clock.now() + delay_ms, self.set_timers, what))
+
     def take(self, statement: pgwire.Statement, slot: Slot) -> int:
         method = self.methods.get(statement.method)
         if method is None:
@@ -91,7 +103,8 @@
 
     def begin(self) -> None:
         """A new life of the module: at the start, and again if it fails."""
-        self.timers.clear()
+        self.timers = [timer for timer in self.timers if isinstance(timer[2], Expiring)]
+        heapq.heapify(self.timers)
         self.marshal = Marshal(self.start)
         self._carry_out(self.marshal.begin(self.clock.now()))
 
@@ -99,7 +112,10 @@
         while True:
             for _ in range(self.limits.burst):
                 if not self._one():
-                    break
+                    if self.between is not None:
+                        self.between()
+                    if not self.queue:
+                        break
             else:
                 await anyio.lowlevel.checkpoint()  # others have their turn
                 continue
@@ -114,7 +130,11 @@
         """Handle what is due: one event, and one timer so that a burst of events starves none."""
         now, did = self.clock.now(), False
         if self.timers and self.timers[0][0] <= now:
-            self._handle(now, ifc.TimerRang(heapq.heappop(self.timers)[2]))
+            what = heapq.heappop(self.timers)[2]
+            if isinstance(what, Expiring):
+                what.expire()
+            else:
+                self._handle(now, ifc.TimerRang(what))
             did = True
         if self.queue:
             event = self.queue.popleft()
@@ -172,9 +192,7 @@
                 case ifc.CancelPick():
                     self.nodes.cancel(action.rpc, action.nth)
                 case ifc.SetTimer():
-                    self.set_timers += 1
-                    due = self.clock.now() + action.delay_ms
-                    heapq.heappush(self.timers, (due, self.set_timers, action.token))
+                    self._at(action.delay_ms, action.token)
                 case ifc.Vote():
                     self.vote(action)
                 case ifc.Probe():
--- a/brookreach/net/http.py
+++ b/brookreach/net/http.py
@@ -1,4 +1,4 @@
-"""One HTTP/1.1 connection as a client: h11 over a stream.
+"""One HTTP/1.1 connection as a client: h11 over an anyio stream.
 
 It owns what is left to read of an answer. It must never try a call again: the caller knows what that means.
 """
@@ -7,37 +7,38 @@
 
 from collections.abc import AsyncIterator
 
+import anyio
 import h11
+from anyio.abc import ByteStream
 
-from .stream import Ended, Stream
 
-PIECE = 64 * 1024
+class NotHttp(Exception):
+    """What came back can't be read, or broke off."""
 
 
-class NotHttp(Exception):
-    """What came back can't be read."""
+LOST = (OSError, anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError, NotHttp)
 
 
 class Http:
-    def __init__(self, stream: Stream, host: str):
+    def __init__(self, stream: ByteStream, host: str):
         self.stream, self.host = stream, host
         self.wire = h11.Connection(h11.CLIENT)
-        self.space = memoryview(bytearray(PIECE))
         self.written = False
 
     @classmethod
     async def connect(cls, to: tuple[str, int]) -> Http:
-        return cls(await Stream.connect(to), f"{to[0]}:{to[1]}")
+        return cls(await anyio.connect_tcp(*to), f"{to[0]}:{to[1]}")
 
     async def ask(self, method: str, target: str, body: bytes = b"") -> int:
         """The answer's status; its body is read by `pieces`."""
         headers = [("Host", self.host), ("Accept", "application/json")]
         if body:
             headers += [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
-        self.written = False
         events: list[h11.Event] = [h11.Request(method=method, target=target, headers=headers)]
         events += [h11.Data(data=body)] if body else []
-        await self.stream.send([self.wire.send(event) or b"" for event in [*events, h11.EndOfMessage()]])
+        head = b"".join([self.wire.send(event) or b"" for event in [*events, h11.EndOfMessage()]])
+        self.written = False
+        await self.stream.send(head)
         self.written = True
         while True:
             event = await self._next()
@@ -56,7 +57,7 @@
                     self.wire.start_next_cycle()
                 return
             else:
-                raise Ended("the answer broke off")
+                raise NotHttp("the answer broke off")
 
     async def body(self, most: int) -> bytes:
         parts, size = [], 0
@@ -67,14 +68,14 @@
             parts.append(part)
         return b"".join(parts)
 
-    async def _next(self) -> h11.Event | type[h11.PAUSED]:
+    async def _next(self) -> object:
         try:
             while (event := self.wire.next_event()) is h11.NEED_DATA:
-                count = await self.stream.receive(self.space)
-                self.wire.receive_data(bytes(self.space[:count]))
+                self.wire.receive_data(await self.stream.receive())
         except h11.RemoteProtocolError as error:
             raise NotHttp(str(error)) from None
-        return event  # type: ignore[return-value]
+        return event
 
-    def close(self) -> None:
-        self.stream.close()
+    async def close(self) -> None:
+        with anyio.CancelScope(shield=True):
+            await anyio.aclose_forcefully(self.stream)
--- a/brookreach/net/limits.py
+++ b/brookreach/net/limits.py
@@ -44,7 +44,10 @@
     sign_s: float = 3.5  # a feed without a sign of life for so long is opened anew
     # Logging.
     lines: int = 20  # a second and kind of line
-    burst: int = 256  # events handled before other tasks have a turn
+    # Turns: sockets looked at before the module has its own, and its events before the sockets have theirs.
+    burst: int = 256
+    garbage: int = 20_000  # objects made between collections: RPCs leave no cycles behind
+    sweep_s: float = 1.0  # between looks at what has been idle for long
 
 
 def limits_from(limits: Mapping[str, Any], told: Mapping[str, Any]) -> Limits:
--- a/brookreach/net/nodes.py
+++ b/brookreach/net/nodes.py
@@ -7,118 +7,215 @@
 
 from __future__ import annotations
 
+import socket
 import time
 from collections import deque
-from collections.abc import Callable
-from dataclasses import dataclass, field
-
-import anyio
-from anyio.abc import TaskGroup
+from typing import Protocol
 
 from brookreach import interface as ifc
 
 from . import pgwire
 from .limits import Limits
 from .report import Report
-from .stream import Ended, Stream
+from .stream import Expiring, Poller, Stream
 
 Ending = ifc.Ending
 HELLO = pgwire.hello("portal", "crm")
+PROBE = pgwire.query(b"SELECT 1")
 OUTCOMES = {b"": Ending.OK, pgwire.PUSHED_BACK: Ending.FULL}
 PROBED = OUTCOMES | {pgwire.NOT_READY: Ending.FULL}
+DIALING, WELCOMING, IDLE, ASKING, SETTLING = 0, 1, 2, 3, 4  # what a connection is at
 
 
-class Unreached(Exception):
-    """Nothing was written; holds how that ends."""
-
-    def __init__(self, ending: Ending):
-        super().__init__(ending.name)
-        self.ending = ending
-
-
-@dataclass(frozen=True, slots=True)
 class Listed:
     """A node as discovery tells it."""
 
-    entry: ifc.NodeEntry
-    address: tuple[str, int]
+    def __init__(self, entry: ifc.NodeEntry, address: tuple[str, int]) -> None:
+        self.entry, self.address = entry, address
 
 
-@dataclass(frozen=True, slots=True)
 class PickOutcome:
-    rpc: int
-    nth: int
-    node: int
-    ending: Ending
-    took_ms: float
-    answer: list[bytes]
+    """How a pick ended; `answer` are the node's messages where it ended ok."""
 
+    def __init__(self, rpc: int, nth: int, node: int, ending: ifc.Ending, took_ms: float,
+                 answer: list[bytes | memoryview]) -> None:
+        self.rpc, self.nth, self.node, self.ending = rpc, nth, node, ending
+        self.took_ms, self.answer = took_ms, answer
 
-class Link:
-    """One connection to a node."""
 
-    def __init__(self, stream: Stream, limit: int):
-        self.stream, self.inbound = stream, pgwire.Inbound(limit)
-        self.written, self.parked_at = False, 0.0
-
-    async def welcome(self) -> None:
-        """The startup, until the node is ready for a query."""
-        await self.stream.send([HELLO])
-        while True:
-            while (message := self.inbound.message()) is not None:
-                tag, body = message
-                if tag == b"Z":
-                    return
-                if tag == b"E":
-                    refused = pgwire.error_state(body) == pgwire.PUSHED_BACK
-                    raise Unreached(Ending.FULL if refused else Ending.NO_CONNECT)
-                if tag not in (b"R", b"S", b"K", b"N") or (tag == b"R" and body != pgwire.INT.pack(0)):
-                    raise pgwire.BrokenStream(f"message {tag!r} in the startup")
-            await self.stream.fill(self.inbound)
-
-    async def ask(self, query: list[bytes]) -> pgwire.Result:
-        self.written = False
-        await self.stream.send(query)
-        self.written = True
-        result = pgwire.Result()
-        await self.read(result, lambda: result.verdict is not None)
-        return result
-
-    async def read(self, result: pgwire.Result, enough: Callable[[], bool]) -> None:
-        """All that has come is looked at, so that what breaks the rules shows before the result counts."""
-        while True:
-            while (message := self.inbound.message()) is not None:
-                result.message(*message)
-            if enough():
-                return
-            await self.stream.fill(self.inbound)
+class Owner(Protocol):
+    """Whom outcomes are told to: the driver."""
+
+    def put(self, event: ifc.Event | PickOutcome) -> None: ...
+
+    def wanted(self, rpc: int) -> bool: ...
+
+    def alarm(self, delay_ms: float, what: Expiring) -> None: ...
 
 
-@dataclass(slots=True)
 class Spot:
     """What is known of one node, and its idle connections: the last used are taken first."""
 
-    listed: Listed
-    epoch: int = 0  # moves when picks that are decided but not written must not be written any more
-    idle: deque[Link] = field(default_factory=deque)
+    def __init__(self, listed: Listed) -> None:
+        self.listed = listed
+        self.epoch = 0  # moves when picks that are decided but not written must not be written any more
+        self.life = 0  # moves when its connections lead to a process that has gone or wants nothing new
+        self.idle: deque[Link] = deque()
+
 
+class Going(Expiring):
+    """A pick that has no outcome yet, or a probe (`rpc` 0)."""
 
-@dataclass(slots=True)
-class Going:
-    """A pick that has no outcome yet."""
+    def __init__(self, home: Nodes, spot: Spot, rpc: int, nth: int, wait_ms: float,
+                 statement: pgwire.Statement | None) -> None:
+        self.home, self.spot, self.rpc, self.nth, self.statement = home, spot, rpc, nth, statement
+        self.node, self.epoch = spot.listed.entry.node, spot.epoch
+        self.began = time.monotonic()
+        self.until = self.began + wait_ms / 1000.0
+        self.link: Link | None = None
+        self.done = False
 
-    scope: anyio.CancelScope
-    cancelled: bool = False
+    def query(self) -> list[bytes | memoryview]:
+        if self.statement is None:
+            return list(PROBE)
+        return self.statement.passed_on((self.until - time.monotonic()) * 1000.0)
+
+    def expire(self) -> None:
+        self.stop(Ending.TIMEOUT)
+
+    def stop(self, ending: ifc.Ending) -> None:
+        """End it by time or by the module's wish. Before its last byte was written, it never ran."""
+        if self.done:
+            return
+        link = self.link
+        if link is None or not link.written():
+            ending = Ending.NO_CONNECT if ending == Ending.TIMEOUT else Ending.MOOT
+        if link is not None:
+            link.drop()  # before the outcome is told: a further pick must be no second copy
+        self.end(ending, [])
+
+    def end(self, ending: ifc.Ending, answer: list[bytes | memoryview]) -> None:
+        if self.done:
+            return
+        self.done, self.link = True, None
+        took = (time.monotonic() - self.began) * 1000.0
+        if self.statement is None:
+            self.home.owner.put(ifc.ProbeEnded(self.node, ending, took, {}))
+        else:
+            self.home.going.pop((self.rpc, self.nth), None)
+            self.home.owner.put(PickOutcome(self.rpc, self.nth, self.node, ending, took, answer))
+
+
+class Link(Stream):
+    """One connection to a node."""
+
+    def __init__(self, home: Nodes, spot: Spot, sock: socket.socket, going: Going) -> None:
+        super().__init__(home.poller, sock, home.limits.message, dialing=True)
+        self.home, self.spot = home, spot
+        self.going: Going | None = going
+        self.at, self.life, self.parked_at = DIALING, spot.life, 0.0
+        self.result = pgwire.Result()
+
+    def written(self) -> bool:
+        return self.at >= ASKING and not self.rest
+
+    def opened(self) -> None:
+        self.at = WELCOMING
+        self.send([HELLO])
+
+    def came(self) -> None:
+        message = self.inbound.message()
+        while message is not None:
+            if self.at == WELCOMING:
+                self._welcome(message[0], message[1])
+            elif self.at == IDLE:
+                raise pgwire.BrokenStream("a message that nothing asked for")
+            else:
+                self.result.message(message[0], message[1])
+            if self.closed:
+                return
+            message = self.inbound.message()
+        # All that has come was looked at, so that what breaks the rules shows before the result counts.
+        if self.at == ASKING and self.result.verdict is not None:
+            self._verdict(self.result.verdict)
+        if self.at == SETTLING and self.result.ready:
+            self.park()
+
+    def _welcome(self, tag: bytes, body: memoryview) -> None:
+        if tag == b"Z":
+            going = self.going
+            if going is None or going.done:
+                self.park()
+            elif going.epoch != self.spot.epoch or not self.home.may_write(going):
+                self.park()
+                going.end(Ending.MOOT, [])
+            else:
+                self.ask(going)
+        elif tag == b"E":
+            full = pgwire.error_state(body) == pgwire.PUSHED_BACK
+            self._fail(Ending.FULL if full else Ending.NO_CONNECT)
+        elif tag not in (b"R", b"S", b"K", b"N") or (tag == b"R" and body != pgwire.INT.pack(0)):
+            raise pgwire.BrokenStream(f"message {tag!r} in the startup")
+
+    def ask(self, going: Going) -> None:
+        """Write the query, once."""
+        self.going, going.link = going, self
+        self.at, self.result = ASKING, pgwire.Result()
+        try:
+            self.send(going.query())
+        except OSError:
+            self._fail(Ending.NO_CONNECT)  # not all of it was taken
+
+    def _verdict(self, verdict: bytes) -> None:
+        going, self.going, self.at = self.going, None, SETTLING
+        if not self.result.ready:
+            self.home.owner.alarm(self.home.limits.dial_s * 1000.0, self)
+        if going is not None:
+            table = OUTCOMES if going.statement is not None else PROBED
+            going.end(table.get(verdict, Ending.ERROR), self.result.parts)
+
+    def expire(self) -> None:
+        """Never came up, or never got ready again."""
+        if self.at in (DIALING, WELCOMING):
+            self._fail(Ending.NO_CONNECT)
+        elif self.at == SETTLING:
+            self.drop()
+
+    def broke(self, why: str) -> None:
+        written = self.written()
+        if why.startswith("not the protocol"):
+            self.home.report.say("node", f"{self.spot.listed.address}: {why}")
+        self._fail(Ending.RESET if written else Ending.NO_CONNECT)
+
+    def _fail(self, ending: ifc.Ending) -> None:
+        going, self.going = self.going, None
+        self.drop()
+        if going is not None:
+            going.end(ending, [])
+
+    def park(self) -> None:
+        """Keep the connection for the next pick, while its node may get one."""
+        self.going = None
+        if self.life != self.spot.life or len(self.inbound):
+            self.drop()
+        else:
+            self.at, self.parked_at = IDLE, time.monotonic()
+            self.spot.idle.append(self)
+
+    def drop(self) -> None:
+        if not self.closed:
+            if self.at == IDLE and self in self.spot.idle:
+                self.spot.idle.remove(self)
+            self.home.links -= 1
+            self.close()
 
 
 class Nodes:
-    def __init__(self, limits: Limits, report: Report, tell: Callable[[PickOutcome | ifc.ProbeEnded], None],
-                 wanted: Callable[[int], bool]):
-        self.limits, self.report, self.tell, self.wanted = limits, report, tell, wanted
+    def __init__(self, limits: Limits, report: Report, poller: Poller, owner: Owner) -> None:
+        self.limits, self.report, self.poller, self.owner = limits, report, poller, owner
         self.spots: dict[int, Spot] = {}
         self.going: dict[tuple[int, int], Going] = {}
         self.links = 0  # connections that stand or are coming up
-        self.tasks: TaskGroup | None = None
 
     # --- what discovery and the platform say ---
 
@@ -131,16 +228,17 @@
         for one in listed:
             spot = self.spots.setdefault(one.entry.node, Spot(one))
             old, new = spot.listed.entry, one.entry
-            spot_is_new = (old.started_ms, old.build, spot.listed.address) != (
+            other = (old.started_ms, old.build, spot.listed.address) != (
                 new.started_ms, new.build, one.address)
             spot.listed = one
-            if spot_is_new or new.state != ifc.NodeState.READY:
-                self._retire(spot)  # its connections lead to a process that has gone or wants nothing new
+            if other or new.state != ifc.NodeState.READY:
+                self._retire(spot)
 
     def _retire(self, spot: Spot) -> None:
         spot.epoch += 1
+        spot.life += 1
         while spot.idle:
-            self._close(spot.idle.pop())
+            spot.idle.pop().drop()
 
     def cap_fell(self, build: int) -> None:
         """Picks at this build or a later one that are not written yet were decided under a higher cap."""
@@ -148,148 +246,85 @@
             if spot.listed.entry.build >= build:
                 spot.epoch += 1
 
+    def may_write(self, going: Going) -> bool:
+        return going.statement is None or self.owner.wanted(going.rpc)
+
     # --- what the driver asks for ---
 
     def pick(self, pick: ifc.Pick, nth: int, statement: pgwire.Statement) -> None:
-        assert self.tasks is not None
         spot = self.spots.get(pick.node)
         if spot is None:
-            self.tell(PickOutcome(pick.rpc, nth, pick.node, Ending.MOOT, 0.0, []))
+            self.owner.put(PickOutcome(pick.rpc, nth, pick.node, Ending.MOOT, 0.0, []))
             return
-        going = self.going[pick.rpc, nth] = Going(anyio.CancelScope())
-        self.tasks.start_soon(self._pick, pick, nth, statement, spot, spot.epoch, going, time.monotonic())
+        going = Going(self, spot, pick.rpc, nth, pick.wait_ms, statement)
+        self.going[pick.rpc, nth] = going
+        self.owner.alarm(pick.wait_ms, going)
+        self._start(going)
 
     def cancel(self, rpc: int, nth: int) -> None:
         going = self.going.get((rpc, nth))
         if going is not None:
-            going.cancelled = True
-            going.scope.cancel()
+            going.stop(Ending.CANCELLED)
 
     def probe(self, node: int) -> None:
-        assert self.tasks is not None
         spot = self.spots.get(node)
         if spot is not None:
-            self.tasks.start_soon(self._probe, node, spot, time.monotonic())
+            going = Going(self, spot, 0, 0, self.limits.dial_s * 1000.0, None)
+            self.owner.alarm(self.limits.dial_s * 1000.0, going)
+            self._start(going)
 
     def close_idle(self, node: int) -> None:
         spot = self.spots.get(node)
         while spot is not None and spot.idle:
-            self._close(spot.idle.pop())
-
-    # --- tasks ---
-
-    async def _pick(self, pick: ifc.Pick, nth: int, statement: pgwire.Statement, spot: Spot, epoch: int,
-                    going: Going, began: float) -> None:
-        until = began + pick.wait_ms / 1000.0
-        link, result, ending = None, None, Ending.TIMEOUT
-        going.scope.deadline = anyio.current_time() + until - time.monotonic()
-        with going.scope:
-            try:
-                link = await self._link(spot)
-                if spot.epoch != epoch or not self.wanted(pick.rpc):
-                    ending = Ending.MOOT
-                else:
-                    result = await link.ask(statement.passed_on((until - time.monotonic()) * 1000.0))
-                    ending = OUTCOMES.get(result.verdict or b"", Ending.ERROR)
-            except Unreached as error:
-                ending = error.ending
-            except Ended:
-                ending = Ending.RESET if link is not None and link.written else Ending.NO_CONNECT
-            except pgwire.BrokenStream as error:
-                ending = Ending.RESET
-                self.report.say("node", f"{spot.listed.address}: {error}")
-        if going.scope.cancelled_caught:
-            # Stopped by time or by the module before its last byte was written, it never ran.
-            written = link is not None and link.written
-            stopped = Ending.CANCELLED if going.cancelled else Ending.TIMEOUT
-            ending = stopped if written else Ending.MOOT if going.cancelled else Ending.NO_CONNECT
-        del self.going[pick.rpc, nth]
-        clean = link is not None and (result is not None or ending == Ending.MOOT)
-        if link is not None and not clean:
-            self._close(link)  # before the outcome is told: a further pick must be no second copy
-        took = (time.monotonic() - began) * 1000.0
-        self.tell(PickOutcome(pick.rpc, nth, pick.node, ending, took, result.parts if result else []))
-        if link is not None and clean:
-            await self._settle(spot, link, result)
-
-    async def _probe(self, node: int, spot: Spot, began: float) -> None:
-        link, result, ending = None, None, Ending.TIMEOUT
-        with anyio.move_on_after(self.limits.dial_s):
-            try:
-                link = await self._link(spot)
-                result = await link.ask(pgwire.query(b"SELECT 1"))
-                ending = PROBED.get(result.verdict or b"", Ending.ERROR)
-            except Unreached as error:
-                ending = error.ending
-            except (Ended, pgwire.BrokenStream):
-                ending = Ending.RESET
-        self.tell(ifc.ProbeEnded(node, ending, (time.monotonic() - began) * 1000.0, {}))
-        if link is not None and result is not None:
-            await self._settle(spot, link, result)
-        elif link is not None:
-            self._close(link)
-
-    async def _link(self, spot: Spot) -> Link:
-        """An idle connection that still stands, or a new one."""
+            spot.idle.pop().drop()
+
+    # --- connections ---
+
+    def _start(self, going: Going) -> None:
+        """By an idle connection that still stands, or by a new one."""
+        spot = going.spot
         while spot.idle:
             link = spot.idle.pop()
-            if link.stream.quiet():
-                link.written = False
-                return link
-            self._close(link)
+            if link.quiet():
+                link.ask(going)
+                return
+            link.drop()
         if self.links >= self.limits.links and not self._spare_one():
             self.report.say("nodes", f"all {self.limits.links} connections are taken: picks are not sent")
-            raise Unreached(Ending.MOOT)
+            going.end(Ending.MOOT, [])
+            return
+        try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        except OSError as error:  # out of descriptors or buffers
+            self.report.say("nodes", f"no socket: {error}")
+            going.end(Ending.MOOT, [])
+            return
         self.links += 1
-        stream: Stream | None = None
+        link = Link(self, spot, sock, going)
+        going.link = link
         try:
-            with anyio.move_on_after(self.limits.dial_s):
-                stream = await Stream.connect(spot.listed.address)
-                link = Link(stream, self.limits.message)
-                await link.welcome()
-                return link
-            raise Unreached(Ending.NO_CONNECT)  # in that time it never came up
-        except BaseException as error:
-            self.links -= 1
-            if stream is not None:
-                stream.close()
-            if isinstance(error, (OSError, Ended, pgwire.BrokenStream)):
-                raise Unreached(Ending.NO_CONNECT) from None
-            raise
+            sock.connect(spot.listed.address)
+        except BlockingIOError:
+            self.owner.alarm(self.limits.dial_s * 1000.0, link)
+        except OSError:
+            link.expire()
 
     def _spare_one(self) -> bool:
         """Close the connection that has been idle for longest."""
-        idle = [spot.idle for spot in self.spots.values() if spot.idle]
+        idle = [spot.idle[0] for spot in self.spots.values() if spot.idle]
         if idle:
-            self._close(min(idle, key=lambda links: links[0].parked_at).popleft())
+            min(idle, key=_parked_at).drop()
         return bool(idle)
 
-    async def _settle(self, spot: Spot, link: Link, result: pgwire.Result | None) -> None:
-        """Read on until the node is ready again, then keep the connection."""
-        epoch, ready = spot.epoch, result is None or result.ready
-        if not ready and result is not None:
-            with anyio.move_on_after(self.limits.dial_s):
-                try:
-                    await link.read(result, lambda: result.ready)
-                    ready = True
-                except (Ended, pgwire.BrokenStream):
-                    pass
-        serves = spot.listed.entry.state == ifc.NodeState.READY and epoch == spot.epoch
-        if ready and serves and not len(link.inbound):
-            link.parked_at = time.monotonic()
-            spot.idle.append(link)
-        else:
-            self._close(link)
+    def sweep(self) -> None:
+        """Close what has been idle for long, before the other side does."""
+        old = time.monotonic() - self.limits.idle_s
+        for spot in self.spots.values():
+            while spot.idle and spot.idle[0].parked_at < old:
+                spot.idle[0].drop()
+
+
+def _parked_at(link: Link) -> float:
+    return link.parked_at
 
-    def _close(self, link: Link) -> None:
-        link.stream.close()
-        self.links -= 1
 
-    async def sweep(self) -> None:
-        """Close what has been idle for long, before the other side does."""
-        while True:
-            await anyio.sleep(self.limits.idle_s / 20.0)
-            old = time.monotonic() - self.limits.idle_s
-            for spot in self.spots.values():
-                while spot.idle and spot.idle[0].parked_at < old:
-                    self._close(spot.idle.popleft())
--- a/brookreach/net/pgwire.py
+++ b/brookreach/net/pgwire.py
@@ -8,7 +8,6 @@
 
 import re
 import struct
-from dataclasses import dataclass
 
 HEAD = struct.Struct("!ci")
 INT = struct.Struct("!i")
@@ -80,7 +79,7 @@
 
 
 def framed(tag: bytes, *parts: bytes) -> list[bytes]:
-    return [HEAD.pack(tag, 4 + sum(map(len, parts))), *parts]
+    return [HEAD.pack(tag, 4 + sum([len(part) for part in parts])), *parts]
 
 
 READY = b"".join(framed(b"Z", b"I"))
@@ -102,12 +101,11 @@
     return framed(b"Q", *parts, b"\0")
 
 
-def error(state: bytes, text: str, detail: str = "", fatal: bool = False) -> bytes:
-    severity = b"FATAL" if fatal else b"ERROR"
-    fields = [b"S", severity, b"\0V", severity, b"\0C", state, b"\0M", text.encode(), b"\0"]
+def error(state: bytes, text: str, detail: str = "", ready: bool = True) -> bytes:
+    fields = [b"SERROR\0VERROR\0C", state, b"\0M", text.encode(), b"\0"]
     if detail:
         fields += [b"D", detail.encode(), b"\0"]
-    return b"".join(framed(b"E", *fields, b"\0")) + (b"" if fatal else READY)
+    return b"".join(framed(b"E", *fields, b"\0")) + (READY if ready else b"")
 
 
 def error_state(body: memoryview) -> bytes:
@@ -127,21 +125,17 @@
 NAME = re.compile(rb"[0-9A-Za-z_.:-]{1,64}\Z")
 
 
-@dataclass(frozen=True, slots=True)
 class Statement:
     """One RPC as its client worded it, ready to be passed on with another wait."""
 
-    method: bytes
-    wait_ms: float
-    cost_ms: float | None
-    repeat: bool
-    write: bool
-    key: int
-    before: bytes
-    after: bytes
+    def __init__(self, method: bytes, wait_ms: float, cost_ms: float | None, repeat: bool, write: bool,
+                 key: int, before: bytes, after: bytes) -> None:
+        self.method, self.wait_ms, self.cost_ms = method, wait_ms, cost_ms
+        self.repeat, self.write, self.key = repeat, write, key
+        self.before, self.after = before, after
 
-    def passed_on(self, wait_ms: float) -> list[bytes]:
-        return query(self.before, b"%d" % max(1, int(wait_ms)), self.after)
+    def passed_on(self, wait_ms: float) -> list[bytes | memoryview]:
+        return [*query(self.before, b"%d" % max(1, int(wait_ms)), self.after)]
 
 
 def _number(values: dict[bytes, bytes], name: bytes) -> float:
@@ -199,7 +193,7 @@
     exactly one row of one column raises."""
 
     def __init__(self) -> None:
-        self.parts: list[bytes] = []
+        self.parts: list[bytes | memoryview] = []
         self.rows = 0
         self.verdict: bytes | None = None
         self.ready = False
--- a/brookreach/net/platform.py
+++ b/brookreach/net/platform.py
@@ -15,10 +15,9 @@
 from brookreach import interface as ifc
 
 from .discovery import BAD_JSON
-from .http import Http, NotHttp
+from .http import LOST, Http, NotHttp
 from .limits import Limits
 from .report import Report
-from .stream import Ended
 
 PHASES = {"Progressing": ifc.Phase.ON_TRIAL, "Aborting": ifc.Phase.GOING_BACK,
           "Healthy": ifc.Phase.RELEASED, "Aborted": ifc.Phase.WITHDRAWN}
@@ -54,10 +53,10 @@
                     ending = STATUSES.get(status, ifc.Ending.TIMEOUT)
                     if status not in (429, 409):
                         self.report.say("platform", f"vote answered {status} {body[:100]!r}")
-            except (OSError, Ended, NotHttp, *BAD_JSON) as error:
+            except (*LOST, *BAD_JSON) as error:
                 self.report.say("platform", f"vote without answer: {type(error).__name__} {error}")
         if http is not None:
-            http.close()
+            await http.close()
         if news is None:
             if ending == ifc.Ending.NO_CONNECT and http is not None and http.written:
                 ending = ifc.Ending.TIMEOUT  # it may have been carried out
@@ -76,11 +75,11 @@
                 if status != 200:
                     raise NotHttp(f"status {status}")
                 await self._lines(http)
-            except (OSError, Ended, NotHttp, TimeoutError) as error:
+            except (*LOST, TimeoutError) as error:
                 self.report.say("platform", f"feed lost, opened again: {type(error).__name__} {error}")
             finally:
                 if http is not None:
-                    http.close()
+                    await http.close()
             await anyio.sleep(pause)
             pause = min(2.0 * pause, self.limits.again_most_s)
 
--- a/brookreach/net/stream.py
+++ b/brookreach/net/stream.py
@@ -1,24 +1,23 @@
-"""Non-blocking sockets: connecting, receiving into a buffer, gathered writes; waiting is anyio's.
+"""Non-blocking sockets: one epoll for all, bytes received into a buffer, gathered writes.
 
 It owns file descriptors and how many bytes the kernel took. It must never know a protocol, nor try again.
+
+One task waits by anyio for the epoll's own descriptor; then the handler of every ready socket runs to its
+end. A task and a wait for each socket cost several times an RPC's share of the core.
 """
 
 from __future__ import annotations
 
 import contextlib
-import os
+import select
 import socket
-from collections.abc import Iterable, Sequence
 
 import anyio
 
-from .pgwire import Inbound
-
-SLICES = min(os.sysconf("SC_IOV_MAX"), 64)  # buffers that the kernel takes in one call, and no more than help
+from .pgwire import BrokenStream, Inbound
 
-
-class Ended(Exception):
-    """The other side has ended or broken the connection."""
+IN, OUT = select.EPOLLIN, select.EPOLLOUT
+SLICES = 64  # buffers given to the kernel in one call
 
 
 def address(text: str) -> tuple[str, int]:
@@ -28,103 +27,168 @@
     return host, int(port)
 
 
-def listen(text: str) -> socket.socket:
-    """A listening socket; a restart takes the same address at once."""
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    try:
-        sock.setblocking(False)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind(address(text))
-        sock.listen(1024)
-    except BaseException:
-        sock.close()
-        raise
-    return sock
+class Expiring:
+    """What has a time-out; called for also when it has long been settled."""
 
-
-def rest_of(buffers: Sequence[bytes | memoryview], taken: int) -> list[bytes | memoryview]:
-    """What is left of the buffers after so many bytes."""
-    for at, one in enumerate(buffers):
-        if taken < len(one):
-            return [memoryview(one)[taken:], *buffers[at + 1:]]
-        taken -= len(one)
-    return []
+    def expire(self) -> None:
+        raise NotImplementedError
 
 
-class Stream:
-    """One connected socket."""
+class Watched(Expiring):
+    """What has a socket in the epoll."""
 
-    def __init__(self, sock: socket.socket):
+    def __init__(self, poller: Poller, sock: socket.socket) -> None:
         sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.sock = sock
+        self.poller, self.sock, self.fd = poller, sock, sock.fileno()
         self.closed = False
 
-    @classmethod
-    async def connect(cls, to: tuple[str, int]) -> Stream:
-        """OSError where nobody listens; the caller sets the time."""
+    def ready(self, mask: int) -> None:
+        raise NotImplementedError
+
+    def close(self) -> None:
+        if not self.closed:
+            self.closed = True
+            self.poller.forget(self.fd)
+            self.sock.close()
+
+
+class Poller:
+    """The epoll and the one task that waits on it."""
+
+    def __init__(self, most: int) -> None:
+        self.epoll, self.most = select.epoll(), most
+        self.watched: dict[int, Watched] = {}
+
+    def watch(self, one: Watched, mask: int) -> None:
+        if one.fd in self.watched:
+            self.epoll.modify(one.fd, mask)
+        else:
+            self.epoll.register(one.fd, mask)
+            self.watched[one.fd] = one
+
+    def forget(self, fd: int) -> None:
+        if self.watched.pop(fd, None) is not None:
+            self.epoll.unregister(fd)
+
+    async def run(self) -> None:
+        while True:
+            await anyio.wait_readable(self.epoll.fileno())
+            self.turn()
+
+    def turn(self) -> None:
+        # A handler may close others of this turn; a number used again meets at worst a call for nothing.
+        for fd, mask in self.epoll.poll(0, self.most):
+            one = self.watched.get(fd)
+            if one is not None:
+                one.ready(mask)
+
+
+class Listener(Watched):
+    """A listening socket; a restart takes the same address at once."""
+
+    def __init__(self, poller: Poller, text: str) -> None:
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
-            sock.setblocking(False)
-            try:
-                sock.connect(to)
-            except BlockingIOError:
-                await anyio.wait_writable(sock)
-                failed = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-                if failed:
-                    raise OSError(failed, os.strerror(failed)) from None
-            return cls(sock)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            sock.bind(address(text))
+            sock.listen(1024)
         except BaseException:
             sock.close()
             raise
+        super().__init__(poller, sock)
 
-    async def receive(self, space: memoryview) -> int:
-        """At least one byte, or Ended."""
-        while True:
-            try:
-                count = self.sock.recv_into(space)
-            except BlockingIOError:
-                await self._wait(anyio.wait_readable)
-                continue
-            except OSError as error:
-                raise Ended(str(error)) from None
-            if count == 0:
-                raise Ended("end of stream")
-            return count
-
-    async def fill(self, inbound: Inbound) -> None:
-        inbound.came(await self.receive(inbound.space()))
-
-    def push(self, buffers: Sequence[bytes | memoryview]) -> list[bytes | memoryview]:
-        """Give the kernel what it takes now; what is left comes back."""
-        rest: list[bytes | memoryview] = list(buffers)
-        while rest:
-            try:
-                taken = self.sock.sendmsg(rest[:SLICES])
-            except BlockingIOError:
-                break
-            except OSError as error:
-                raise Ended(str(error)) from None
-            rest = rest_of(rest, taken)
-        return rest
-
-    async def send(self, buffers: Iterable[bytes | memoryview]) -> None:
-        """Returns once the kernel has taken the last byte."""
-        rest = self.push(list(buffers))
-        while rest:
-            await self._wait(anyio.wait_writable)
-            rest = self.push(rest)
-
-    async def _wait(self, ready) -> None:  # type: ignore[no-untyped-def]
+    def accept(self) -> socket.socket | None:
+        try:
+            return self.sock.accept()[0]
+        except (BlockingIOError, ConnectionAbortedError):
+            return None
+
+
+class Stream(Watched):
+    """One connected socket, or one that is coming up. Handlers: `opened`, `came`, `broke`."""
+
+    def __init__(self, poller: Poller, sock: socket.socket, limit: int, dialing: bool = False) -> None:
+        super().__init__(poller, sock)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.inbound = Inbound(limit)
+        self.rest: list[bytes | memoryview] = []  # what the kernel has not taken yet
+        self.dialing, self.reading = dialing, True
+        self.interest()
+
+    def interest(self) -> None:
+        """What the epoll is to wake this for."""
+        out = OUT if self.rest or self.dialing else 0
+        self.poller.watch(self, out | (IN if self.reading and not self.dialing else 0))
+
+    def opened(self) -> None:
+        """The connection has come up."""
+
+    def came(self) -> None:
+        """Bytes have come."""
+        raise NotImplementedError
+
+    def broke(self, why: str) -> None:
+        """The other side has ended or broken the connection, or what came is not the protocol."""
+        raise NotImplementedError
+
+    def emptied(self) -> None:
+        """The kernel has taken the last byte that had to wait."""
+
+    def ready(self, mask: int) -> None:
+        try:
+            if self.dialing:
+                self._dialed()
+                return
+            if mask & OUT and self.rest:
+                self._push()
+                if self.closed:
+                    return
+                if not self.rest:
+                    self.interest()
+                    self.emptied()
+            if mask & ~OUT and not self.closed:
+                count = self.sock.recv_into(self.inbound.space())
+                if count == 0:
+                    self.broke("end of stream")
+                else:
+                    self.inbound.came(count)
+                    self.came()
+        except BlockingIOError:
+            return
+        except OSError as error:
+            self.broke(str(error))
+        except BrokenStream as error:
+            self.broke(f"not the protocol: {error}")
+
+    def _dialed(self) -> None:
+        failed = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if failed:
+            raise OSError(failed, "could not connect")
+        self.sock.getpeername()  # raises while it is not up
+        self.dialing = False
+        self.interest()
+        self.opened()
+
+    def send(self, buffers: list[bytes | memoryview]) -> None:
+        """At once as far as the kernel takes it, the rest when it takes more. OSError where it is broken."""
+        if self.rest:
+            self.rest.extend(buffers)
+            return
+        self.rest = buffers
+        self._push()
+        if self.rest:
+            self.interest()
+
+    def _push(self) -> None:
         try:
-            await ready(self.sock)
-        except (anyio.ClosedResourceError, ValueError, OSError) as error:
-            raise Ended(f"closed here: {error}") from None
+            while self.rest:
+                taken = self.sock.sendmsg(self.rest[:SLICES])
+                self.rest = rest_of(self.rest, taken)
+        except BlockingIOError:
+            return
 
     def quiet(self) -> bool:
         """Whether an idle connection still stands, with nothing unread on it."""
-        if self.closed:
-            return False
         try:
             self.sock.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
@@ -137,8 +201,11 @@
         with contextlib.suppress(OSError):  # the other side was quicker
             self.sock.shutdown(socket.SHUT_WR)
 
-    def close(self) -> None:
-        if not self.closed:
-            self.closed = True
-            anyio.notify_closing(self.sock)  # whoever waits on it is woken
-            self.sock.close()
+
+def rest_of(buffers: list[bytes | memoryview], taken: int) -> list[bytes | memoryview]:
+    """What is left of the buffers after so many bytes."""
+    for at, one in enumerate(buffers):
+        if taken < len(one):
+            return [memoryview(one)[taken:], *buffers[at + 1:]]
+        taken -= len(one)
+    return []
