--- a/brookreach/__main__.py
+++ b/brookreach/__main__.py
@@ -22,7 +22,6 @@
 from brookreach.net.discovery import Discovery
 from brookreach.net.driver import Clock, Driver
 from brookreach.net.limits import Limits, limits_from
-from brookreach.net.nodes import Nodes
 from brookreach.net.platform import Platform, news_from
 from brookreach.net.report import Report
 from brookreach.net.stream import Poller, address
@@ -62,8 +61,7 @@
             address(self.at)
             self.report = Report(str(told["name"]), self.limits.lines)
             self.poller = Poller(self.limits.burst)
-            self.driver = Driver(start, self.limits, self.report, Clock(),
-                                 lambda owner: Nodes(self.limits, self.report, self.poller, owner))
+            self.driver = Driver(start, self.limits, self.report, Clock(), self.poller)
             self.discovery = Discovery(self.limits, self.report, settings["zones"], settings["skus"],
                                        self.driver.told)
             self.platform = Platform(self.limits, self.report, [method.name for method in start.methods],
@@ -85,9 +83,15 @@
         except OSError as error:
             raise BadStart(f"can't listen on {self.at}: {error}") from None
         self.driver.between = clients.catch_up
+        try:
+            await self._serve(clients)
+        finally:
+            self.poller.close()
+
+    async def _serve(self, clients: Clients) -> None:
         async with anyio.create_task_group() as tasks:
             self.driver.vote = lambda vote: tasks.start_soon(self.platform.vote, vote)
-            for task in (self.driver.run, self.poller.run, self.sweep, self.platform.follow):
+            for task in (self.driver.run, self.sweep, self.platform.follow):
                 tasks.start_soon(task)
             tasks.start_soon(self.discovery.follow, self.discovery_at)
             self.report.say("marshal", f"serves on {self.at}")
--- a/brookreach/net/clients.py
+++ b/brookreach/net/clients.py
@@ -8,6 +8,7 @@
 
 import contextlib
 import socket
+import time
 from collections import deque
 from typing import Protocol
 
@@ -16,7 +17,7 @@
 from . import pgwire
 from .limits import Limits
 from .report import Report
-from .stream import IN, Expiring, Listener, Poller, Stream
+from .stream import Expiring, Listener, Poller, Stream
 
 EXTENDED = (b"P", b"B", b"D", b"E", b"C", b"H")  # of the extended protocol, all but Sync
 
@@ -54,6 +55,7 @@
         self.started = False  # the startup message has come
         self.skipping = False  # after an error in the extended protocol, until Sync
         self.leaving = False  # we have ended our side
+        self.used_at = time.monotonic()
         self.stuck = 0  # how often an alarm has found the same answer not taken
         home.taker.alarm(home.limits.startup_s * 1000.0, self)
 
@@ -151,6 +153,7 @@
             ready.extend(self.slots.popleft().buffers or [])
         if not ready or self.closed:
             return
+        self.used_at = self.poller.polled
         try:
             self.send(ready)
         except OSError:
@@ -184,36 +187,64 @@
                 self.end_sending()
 
 
-class Clients(Listener):
+def _used_at(client: Client) -> float:
+    return client.used_at
+
+
+class Clients:
     def __init__(self, limits: Limits, report: Report, poller: Poller, taker: Taker, at: str) -> None:
-        super().__init__(poller, at)
-        self.limits, self.report, self.taker = limits, report, taker
+        self.limits, self.report, self.poller, self.taker, self.at = limits, report, poller, taker, at
         self.open: set[Client] = set()
         self.again: list[Client] = []  # to be looked at again for RPCs that have come already
         self.stopping = False
-        self.waiting = False  # for a connection to end before more are accepted
         self.one_left = anyio.Event()
-        poller.watch(self, IN)
+        self.listener: Listener | None = None
+        self._listen()
+
+    def _listen(self) -> None:
+        self.listener = Listener(self.poller, self.at, self.limits.backlog, self.arrived)
 
-    def ready(self, mask: int) -> None:
+    def arrived(self) -> None:
+        """Accept all that the kernel has taken for us. With too many, refuse new ones: a connection that
+        waits to be accepted holds an RPC that is taken and that nobody looks at."""
         try:
-            while len(self.open) < self.limits.clients:
-                sock = self.accept()
+            while self.listener is not None:
+                sock = self.listener.accept()
                 if sock is None:
                     return
                 self.open.add(Client(sock, self))
-            self.report.say("clients", f"{len(self.open)} connections: accepting waits")
+                if len(self.open) >= self.limits.clients and not self._spare_one():
+                    self._refuse(f"{len(self.open)} connections")
         except OSError as error:
-            self.report.say("clients", f"accepting waits: {error}")  # out of descriptors or buffers
-        self.waiting = True
-        self.poller.watch(self, 0)
+            self._refuse(str(error))  # out of descriptors or buffers
+
+    def _refuse(self, why: str) -> None:
+        listener, self.listener = self.listener, None
+        if listener is not None:
+            self.report.say("clients", f"{why}: new ones are refused")
+            with contextlib.suppress(OSError):
+                while (sock := listener.accept()) is not None:
+                    self.open.add(Client(sock, self))
+            listener.close()
+
+    def _spare_one(self) -> bool:
+        """Close the connection that has been idle for longest: between RPCs we may."""
+        idle = [client for client in self.open if client.started and not client.slots and not client.rest]
+        if idle:
+            client = min(idle, key=_used_at)
+            if client.quiet():
+                client.end()
+                return True
+        return False
 
     def left(self, client: Client) -> None:
         self.open.discard(client)
         self.one_left.set()
-        if self.waiting and not self.closed:
-            self.waiting = False
-            self.poller.watch(self, IN)
+        if self.listener is None and not self.stopping and len(self.open) < self.limits.again:
+            try:
+                self._listen()
+            except OSError as error:
+                self.report.say("clients", f"can't listen again yet: {error}")
 
     def catch_up(self) -> None:
         """Take the RPCs that came while their connection had enough under way."""
@@ -228,9 +259,10 @@
     async def stop(self) -> None:
         """Take what still comes for a moment, finish what is under way, end the rest between RPCs."""
         await anyio.sleep(self.limits.linger_s)
-        self.ready(IN)  # the kernel has taken these for us
-        self.close()
         self.stopping = True
+        self.arrived()  # the kernel has taken these for us
+        if self.listener is not None:
+            self.listener.close()
         for client in list(self.open):
             if not client.slots:
                 client.leave()
--- a/brookreach/net/driver.py
+++ b/brookreach/net/driver.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import heapq
+import math
 import time
 import traceback
 from collections import deque
@@ -23,7 +24,7 @@
 from .limits import Limits
 from .nodes import Listed, Nodes, PickOutcome
 from .report import Report
-from .stream import Expiring
+from .stream import Expiring, Poller
 
 
 class Clock:
@@ -32,8 +33,11 @@
     def __init__(self) -> None:
         self.offset_ms = (time.time() - time.monotonic()) * 1000.0
 
+    def at(self, monotonic: float) -> float:
+        return self.offset_ms + monotonic * 1000.0
+
     def now(self) -> float:
-        return self.offset_ms + time.monotonic() * 1000.0
+        return self.at(time.monotonic())
 
 
 class Open:
@@ -45,7 +49,7 @@
 
 class Driver:
     def __init__(self, start: ifc.Start, limits: Limits, report: Report, clock: Clock,
-                 nodes: Callable[[Driver], Nodes]) -> None:
+                 poller: Poller) -> None:
         self.start, self.limits, self.report, self.clock = start, limits, report, clock
         self.methods = {method.name.encode(): at for at, method in enumerate(start.methods)}
         self.queue: deque[ifc.Event | PickOutcome] = deque()
@@ -53,8 +57,9 @@
         self.set_timers = self.taken = 0
         self.open: dict[int, Open] = {}
         self.news: ifc.RolloutNews | None = None
-        self.wake = anyio.Event()
-        self.nodes = nodes(self)
+        self.poller = poller
+        self.waiting: anyio.CancelScope | None = None  # while the task has nothing to do
+        self.nodes = Nodes(limits, report, poller, self)
         self.vote: Callable[[ifc.Vote], object] = self.put_off
         self.between: Callable[[], None] | None = None  # called when the queue is empty
 
@@ -62,7 +67,8 @@
 
     def put(self, event: ifc.Event | PickOutcome) -> None:
         self.queue.append(event)
-        self.wake.set()
+        if self.waiting is not None:
+            self.waiting.cancel()
 
     def put_off(self, vote: ifc.Vote) -> None:
         """A vote before the platform's part has started: it may be said again."""
@@ -84,8 +90,10 @@
             raise pgwire.BadStatement(b"54000", "too many RPCs under way")
         self.taken += 1
         self.open[self.taken] = Open(statement, slot)
-        self.put(ifc.RpcTaken(self.taken, method, 0, statement.key, self.clock.now() + statement.wait_ms,
-                              statement.cost_ms, statement.repeat, statement.write))
+        # Its bytes may have waited since the last turn; the client's wait has run since then.
+        deadline = self.clock.at(self.poller.since) + statement.wait_ms
+        self.put(ifc.RpcTaken(self.taken, method, 0, statement.key, deadline, statement.cost_ms,
+                              statement.repeat, statement.write))
         return self.taken
 
     def gone(self, rpc: int) -> None:
@@ -110,21 +118,30 @@
 
     async def run(self) -> None:
         while True:
-            for _ in range(self.limits.burst):
-                if not self._one():
-                    if self.between is not None:
-                        self.between()
-                    if not self.queue:
-                        break
+            for _ in range(self.limits.turns):
+                found = self.poller.turn()
+                if not self._work() and not found:
+                    break
             else:
-                await anyio.lowlevel.checkpoint()  # others have their turn
+                await anyio.lowlevel.checkpoint()  # other tasks have their turn
                 continue
-            self.wake = anyio.Event()
-            if self.timers:
-                with anyio.move_on_after(max(0.0, self.timers[0][0] - self.clock.now()) / 1000.0):
-                    await self.wake.wait()
-            else:
-                await self.wake.wait()
+            wait_s = (self.timers[0][0] - self.clock.now()) / 1000.0 if self.timers else math.inf
+            with anyio.move_on_after(max(0.0, wait_s)) as self.waiting:
+                await self.poller.wait()
+            self.waiting = None
+            self.poller.polled = time.monotonic()  # what is found now has just come
+
+    def _work(self) -> bool:
+        """Handle events and timers, so many at a time; whether there were any."""
+        did = False
+        for _ in range(self.limits.burst):
+            if not self._one():
+                if self.between is not None:
+                    self.between()
+                if not self.queue:
+                    return did
+            did = True
+        return True
 
     def _one(self) -> bool:
         """Handle what is due: one event, and one timer so that a burst of events starves none."""
--- a/brookreach/net/limits.py
+++ b/brookreach/net/limits.py
@@ -18,7 +18,9 @@
 @dataclass(frozen=True, slots=True)
 class Limits:
     # From the configuration and the settings.
-    clients: int  # client connections at a time; past it the listener waits
+    clients: int  # client connections at a time; past it new ones are refused
+    again: int  # below so many they are taken again: each way costs a burst of new ones
+    backlog: int  # of them, those that the kernel takes for us ahead
     links: int  # connections to nodes at a time, idle ones among them
     held: int  # RPCs that have no final answer yet
     dial_s: float  # a connection to a node is up within this or never
@@ -46,6 +48,7 @@
     lines: int = 20  # a second and kind of line
     # Turns: sockets looked at before the module has its own, and its events before the sockets have theirs.
     burst: int = 256
+    turns: int = 8  # of both, before other tasks have theirs
     garbage: int = 20_000  # objects made between collections: RPCs leave no cycles behind
     sweep_s: float = 1.0  # between looks at what has been idle for long
 
@@ -60,7 +63,8 @@
         if room < 16:
             raise ValueError("sockets or memory_mb leave no room for connections")
         return Limits(
-            clients=room // 2, links=room // 2, held=allowed["mostHeld"],
+            clients=room * 2 // 5, again=room * 3 // 10,
+            backlog=room // 10, links=room // 2, held=allowed["mostHeld"],
             dial_s=to_ms(allowed["dialTimeoutUs"]) / 1000.0,
             idle_s=0.8 * to_ms(allowed["keepaliveUs"]) / 1000.0,
             reply_s=to_ms(told["familyInfo"]["answerWaitUs"]) / 1000.0,
--- a/brookreach/net/nodes.py
+++ b/brookreach/net/nodes.py
@@ -17,7 +17,7 @@
 from . import pgwire
 from .limits import Limits
 from .report import Report
-from .stream import Expiring, Poller, Stream
+from .stream import IN, Expiring, Poller, Stream
 
 Ending = ifc.Ending
 HELLO = pgwire.hello("portal", "crm")
@@ -81,6 +81,8 @@
         return self.statement.passed_on((self.until - time.monotonic()) * 1000.0)
 
     def expire(self) -> None:
+        if self.link is not None and not self.done:
+            self.link.ready(IN)  # in a long turn its answer may have come, and not been looked at
         self.stop(Ending.TIMEOUT)
 
     def stop(self, ending: ifc.Ending) -> None:
@@ -176,7 +178,9 @@
 
     def expire(self) -> None:
         """Never came up, or never got ready again."""
-        if self.at in (DIALING, WELCOMING):
+        if not self.closed and self.at in (DIALING, WELCOMING):
+            self.ready(IN)  # as above
+        if not self.closed and self.at in (DIALING, WELCOMING):
             self._fail(Ending.NO_CONNECT)
         elif self.at == SETTLING:
             self.drop()
--- a/brookreach/net/pgwire.py
+++ b/brookreach/net/pgwire.py
@@ -119,7 +119,7 @@
 # --- statements ---
 
 COMMENT = re.compile(rb"/\*([^*]*)\*/[\s;]*\Z")
-WAIT = re.compile(rb"(?:\A|,)\s*d=([^,]*)")
+WAIT = re.compile(rb"(?:\A|,)\s*d=([^,\s]*)")
 KINDS = re.compile(rb"\s*(select|insert)\b", re.IGNORECASE)
 HARMLESS = re.compile(rb"\s*(set|reset|discard)\b", re.IGNORECASE)
 NAME = re.compile(rb"[0-9A-Za-z_.:-]{1,64}\Z")
--- a/brookreach/net/stream.py
+++ b/brookreach/net/stream.py
@@ -2,8 +2,8 @@
 
 It owns file descriptors and how many bytes the kernel took. It must never know a protocol, nor try again.
 
-One task waits by anyio for the epoll's own descriptor; then the handler of every ready socket runs to its
-end. A task and a wait for each socket cost several times an RPC's share of the core.
+The driver's task waits by anyio for the epoll's own descriptor; then the handler of every ready socket runs
+to its end. A task and a wait for each socket cost several times an RPC's share of the core.
 """
 
 from __future__ import annotations
@@ -11,6 +11,8 @@
 import contextlib
 import select
 import socket
+import time
+from collections.abc import Callable
 
 import anyio
 
@@ -53,11 +55,12 @@
 
 
 class Poller:
-    """The epoll and the one task that waits on it."""
+    """The epoll. What a turn finds has come since `since`."""
 
     def __init__(self, most: int) -> None:
         self.epoll, self.most = select.epoll(), most
         self.watched: dict[int, Watched] = {}
+        self.since = self.polled = time.monotonic()
 
     def watch(self, one: Watched, mask: int) -> None:
         if one.fd in self.watched:
@@ -70,32 +73,44 @@
         if self.watched.pop(fd, None) is not None:
             self.epoll.unregister(fd)
 
-    async def run(self) -> None:
-        while True:
-            await anyio.wait_readable(self.epoll.fileno())
-            self.turn()
+    def close(self) -> None:
+        for one in list(self.watched.values()):
+            one.close()
+        self.epoll.close()
+
+    async def wait(self) -> None:
+        await anyio.wait_readable(self.epoll.fileno())
 
-    def turn(self) -> None:
+    def turn(self) -> int:
+        """Handle what is ready now; how many sockets that were."""
+        self.since, self.polled = self.polled, time.monotonic()
+        found = self.epoll.poll(0, self.most)
         # A handler may close others of this turn; a number used again meets at worst a call for nothing.
-        for fd, mask in self.epoll.poll(0, self.most):
+        for fd, mask in found:
             one = self.watched.get(fd)
             if one is not None:
                 one.ready(mask)
+        return len(found)
 
 
 class Listener(Watched):
-    """A listening socket; a restart takes the same address at once."""
+    """A listening socket; a restart takes the same address at once. Handler: `arrived`."""
 
-    def __init__(self, poller: Poller, text: str) -> None:
+    def __init__(self, poller: Poller, text: str, backlog: int, arrived: Callable[[], None]) -> None:
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             sock.bind(address(text))
-            sock.listen(1024)
+            sock.listen(backlog)
         except BaseException:
             sock.close()
             raise
         super().__init__(poller, sock)
+        self.arrived = arrived
+        poller.watch(self, IN)
+
+    def ready(self, mask: int) -> None:
+        self.arrived()
 
     def accept(self) -> socket.socket | None:
         try:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,12 +1,20 @@
 """A marshal in a small world, and its decisions as a trace that people read."""
 
+import contextlib
 import difflib
 import itertools
+import json
+import socket
 import unittest
 from pathlib import Path
 
+import anyio
+
 from brookreach import interface as ifc
+from brookreach.__main__ import Parts
 from brookreach.decide import Marshal
+from brookreach.net import pgwire
+from brookreach.net.stream import address
 
 KEPT = Path(__file__).parent / "kept"
 IDEM, TOKEN, ONCE = ifc.Repeat.IDEMPOTENT, ifc.Repeat.TOKENED, ifc.Repeat.NON_IDEMPOTENT
@@ -119,3 +127,217 @@
         kept = (KEPT / f"{name}.txt").read_text().splitlines()
         if kept != trace:
             self.fail("\n".join(difflib.unified_diff(kept, trace, f"kept/{name}.txt", "now", lineterm="")))
+
+
+# --- the network side: a real marshal and its small stand-ins, all in one process on loopback ---
+
+US = 1000  # of a millisecond
+SETTINGS = {
+    "allowed": {"cancel": True, "cpuUsPerRequest": 0.0, "cpuUsPerS": 400000, "dialTimeoutUs": 250 * US,
+                "keepaliveUs": 30_000 * US, "maxRetryAfterUs": 2000 * US, "maxStreams": 1, "mostHeld": 20000,
+                "peers": False, "probes": True, "retryAfter": True, "secondCopies": False, "sendCap": 2},
+    "balancers": 1,
+    "classes": [{"aimUs": 1000 * US, "dedupScope": "all", "hardLimitUs": 3000 * US, "idempotency": repeat,
+                 "lateWorth": 0.0, "name": name, "stream": False, "windowUs": 5000 * US, "worth": 1.0}
+                for name, repeat in (("look", "read_like"), ("book", "non_idempotent"))],
+    "familyInfo": {"answerWaitUs": 300 * US, "ballotTtlUs": 6000 * US, "blastPrice": 5.0, "capScope": "all",
+                   "complaintShare": 0.0, "countedOverUs": 4000 * US, "delayPrice": 0.45,
+                   "exposureCaps": [0.1, 1.0], "forwardOnly": False, "gateMode": "any", "guardedStages": 0,
+                   "holdVotes": 0, "metricsPeriodUs": 0, "minDwellUs": 1500 * US, "movesAfterUs": 0,
+                   "newsPeriodUs": 4000 * US, "replaceMode": "in_place", "sample": 0.4,
+                   "stageShare": [0.1, 1.0], "toAbort": 1, "toAdvance": 1, "uncounted": 3.0,
+                   "voteAllowance": 15.0, "warmKeys": False},
+    "fees": {"crossZone": 0.0, "waste": 0.05, "probe": 0.01, "lateFail": 0.08},
+    "guarantees": {"answerSlackUs": 20 * US, "askWithinUs": 10_000 * US, "coldShare": 0.3,
+                   "drainGraceUs": 250 * US, "fallMultiple": 2.5, "tipAfterUs": 2000 * US,
+                   "warmWithinUs": 4500 * US},
+    "myZone": 0, "ordinal": 0, "overShareWorth": 0.1, "registryMode": "push",
+    "report": {"fields": [], "via": "off"}, "skus": ["std"], "tenants": [], "tickUs": 5000, "zones": ["a", "b"],
+}
+NEWS = {"version": 7, "step": 1, "status": "Healthy", "maxWeight": 1.0, "observedAgoMs": 0}
+ROW = [*pgwire.framed(b"T", b"\0\1data\0" + bytes(18)), *pgwire.framed(b"D", b"\0\1\0\0\0\2\x9f\3"),
+       *pgwire.framed(b"C", b"SELECT 1\0")]
+REPLIES = {
+    "row": [*ROW, pgwire.READY],
+    "row with notices": [*pgwire.framed(b"N", b"\0"), *ROW[:4], *pgwire.framed(b"S", b"x\0y\0"), *ROW[4:],
+                         pgwire.READY],
+    "error": [pgwire.error(b"XX000", "no")],
+    "full": [pgwire.error(b"53300", "full")],
+    "no row": [*ROW[:2], *ROW[4:], pgwire.READY],
+    "two rows": [*ROW[:4], *ROW[2:], pgwire.READY],
+    "null": [*ROW[:2], *pgwire.framed(b"D", b"\0\1\xff\xff\xff\xff"), *ROW[4:], pgwire.READY],
+    "two results": [*ROW, *ROW, pgwire.READY],
+    "after ready": [*ROW, pgwire.READY, *ROW],
+    "garbage": [b"HTTP/1.1 400 Bad Request\r\n\r\n"],
+    "a length only": [b"T\x7f\xff\xff\xff"],
+}
+
+
+class NodeStand:
+    """A node: answers each query by the word that its statement holds; `heard` are the queries written to it."""
+
+    def __init__(self):
+        self.heard, self.links, self.welcomes = [], 0, True
+
+    async def serve(self, stream):
+        self.links += 1
+        inbound = pgwire.Inbound(1 << 20)
+        with contextlib.suppress(anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError):
+            async with stream:
+                while inbound.startup() is None:
+                    self.into(inbound, await stream.receive())
+                if not self.welcomes:
+                    await stream.receive()
+                await stream.send(pgwire.WELCOME)
+                while True:
+                    message = inbound.message()
+                    if message is None:
+                        self.into(inbound, await stream.receive())
+                        continue
+                    text = bytes(message[1][:-1]).decode()
+                    self.heard.append(text)
+                    word = text.split("'")[1]
+                    if word == "reset":
+                        return
+                    if word != "nothing":
+                        await stream.send(b"".join(REPLIES[word]))
+
+    @staticmethod
+    def into(inbound, data):
+        while data:
+            space = inbound.space()
+            part = data[:len(space)]
+            space[:len(part)] = part
+            inbound.came(len(part))
+            data = data[len(part):]
+
+
+class HttpStand:
+    """Discovery or the platform: answers by `answer(method, target, body)`: (status, body, whether it ends)."""
+
+    def __init__(self, answer):
+        self.answer, self.calls = answer, []
+
+    async def serve(self, stream):
+        with contextlib.suppress(anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError):
+            async with stream:
+                data = b""
+                while True:
+                    while b"\r\n\r\n" not in data:
+                        data += await stream.receive()
+                    head, _, data = data.partition(b"\r\n\r\n")
+                    method, target, _ = head.split(b"\r\n")[0].decode().split()
+                    length = [line for line in head.lower().split(b"\r\n") if line.startswith(b"content-length")]
+                    size = int(length[0].split(b":")[1]) if length else 0
+                    while len(data) < size:
+                        data += await stream.receive()
+                    body, data = data[:size], data[size:]
+                    self.calls.append(f"{method} {target} {body.decode()}".strip())
+                    status, text, ends = await self.answer(method, target, body)
+                    if status == 0:
+                        return
+                    size = f"Content-Length: {len(text)}" if ends else "Content-Length: 1000000"
+                    await stream.send(f"HTTP/1.1 {status} OK\r\n{size}\r\n\r\n{text}".encode())
+                    if not ends:
+                        await anyio.sleep_forever()
+
+
+class Town:
+    """A marshal with one node, discovery and the platform; `trace` is what is compared."""
+
+    def __init__(self):
+        self.trace, self.node = [], NodeStand()
+        self.discovery, self.platform = HttpStand(self.listing), HttpStand(self.told)
+        self.state, self.revision, self.pause = "active", 1, anyio.Event()
+        self.ballot, self.feed = (200, json.dumps(NEWS), True), (200, "{}\n", False)
+
+    def members(self):
+        return json.dumps({"revision": self.revision, "complete": True, "members": [
+            {"id": "s-1", "host_port": self.at["node"], "locality": "a", "flavor": "std", "cell": 0,
+             "phase": self.state, "size": 1.0, "up_since_ms": 0, "revision_no": 7}]})
+
+    async def listing(self, method, target, body):
+        if "after=" in target:
+            with anyio.move_on_after(2.0):
+                await self.pause.wait()
+            self.pause = anyio.Event()
+        return 200, self.members(), True
+
+    async def told(self, method, target, body):
+        return self.feed if target == "/api/feed" else self.ballot
+
+    @contextlib.asynccontextmanager
+    async def open(self):
+        self.at = {}
+        async with anyio.create_task_group() as tasks:
+            for name in ("node", "discovery", "platform"):
+                listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+                port = listener.extra(anyio.abc.SocketAttribute.local_port)
+                self.at[name] = f"127.0.0.1:{port}"
+                tasks.start_soon(listener.serve, getattr(self, name).serve)
+            with socket.socket() as free:
+                free.bind(("127.0.0.1", 0))
+                self.at["listen"] = f"127.0.0.1:{free.getsockname()[1]}"
+            self.parts = Parts({
+                "name": "n1", "listen": self.at["listen"], "discovery": self.at["discovery"], "seed": "5",
+                "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
+                "deployer": {"address": self.at["platform"], "news": NEWS},
+                "known": json.loads(self.members()), "settings": SETTINGS})
+            self.parts.report.say = lambda kind, text: None
+            self.watch_module()
+            tasks.start_soon(self.parts.run)
+            yield self
+            tasks.cancel_scope.cancel()
+
+    def watch_module(self):
+        """What the module hears of picks, votes and lists goes into the trace."""
+        handle = self.parts.driver.marshal.handle
+
+        def noted(now, event):
+            match event:
+                case ifc.PickEnded():
+                    self.trace.append(f"  module: pick {event.nth} {event.ending.name}"
+                                      + (", final" if event.final else ""))
+                case ifc.RpcGone():
+                    self.trace.append("  module: client gone")
+                case ifc.RolloutNews(reply=True):
+                    self.trace.append(f"  module: vote {event.ending.name}")
+            return handle(now, event)
+
+        self.parts.driver.marshal.handle = noted
+
+    async def client(self, start=True):
+        stream = await anyio.connect_tcp(*address(self.at["listen"]))
+        if start:
+            await stream.send(pgwire.hello("portal", "crm"))
+        return stream, pgwire.Inbound(1 << 20)
+
+    async def answer(self, client, until=b"Z"):
+        """What comes back up to ReadyForQuery or the end, as one line."""
+        stream, inbound = client
+        said = []
+        try:
+            while True:
+                message = inbound.message()
+                if message is None:
+                    NodeStand.into(inbound, await stream.receive())
+                    continue
+                tag, body = message[0], bytes(message[1])
+                if tag == b"E":
+                    fields = {part[:1]: part[1:].decode() for part in body.split(b"\0") if part}
+                    said.append(f"error {fields[b'C']}" + (f" D={fields[b'D']}" if b"D" in fields else ""))
+                elif tag == b"D":
+                    said.append(f"row {body[6:].hex()}")
+                elif tag in (b"I", b"C"):
+                    said.append({b"I": "empty", b"C": "complete"}[tag])
+                if tag == until:
+                    return ", ".join(said) or "ready"
+        except (anyio.EndOfStream, anyio.BrokenResourceError):
+            return ", ".join([*said, "end"])
+
+    async def ask(self, client, word, method="look", wait=1000, number="0a"):
+        kind = "SELECT data FROM facts WHERE code =" if method == "look" else "INSERT INTO facts VALUES"
+        text = f"{kind} '{word}' /* id={number},c={method},d={wait} */"
+        await client[0].send(b"".join(pgwire.query(text.encode())))
+        answer = await self.answer(client)
+        self.trace.append(f"{method} '{word}': {answer}")
