--- a/brookreach/__main__.py
+++ b/brookreach/__main__.py
@@ -60,7 +60,7 @@
             self.at, self.discovery_at = told["listen"], address(told["discovery"])
             address(self.at)
             self.report = Report(str(told["name"]), self.limits.lines)
-            self.poller = Poller(self.limits.burst)
+            self.poller = Poller(self.limits.sockets)
             self.driver = Driver(start, self.limits, self.report, Clock(), self.poller)
             self.discovery = Discovery(self.limits, self.report, settings["zones"], settings["skus"],
                                        self.driver.told)
--- a/brookreach/net/driver.py
+++ b/brookreach/net/driver.py
@@ -134,7 +134,7 @@
     def _work(self) -> bool:
         """Handle events and timers, so many at a time; whether there were any."""
         did = False
-        for _ in range(self.limits.burst):
+        for _ in range(self.limits.events):
             if not self._one():
                 if self.between is not None:
                     self.between()
--- a/brookreach/net/limits.py
+++ b/brookreach/net/limits.py
@@ -47,8 +47,10 @@
     # Logging.
     lines: int = 20  # a second and kind of line
     # Turns: sockets looked at before the module has its own, and its events before the sockets have theirs.
-    burst: int = 256
-    turns: int = 8  # of both, before other tasks have theirs
+    # An RPC brings three events. Long turns keep the news of drains waiting.
+    sockets: int = 64
+    events: int = 256
+    turns: int = 2  # of both, before other tasks have theirs
     garbage: int = 20_000  # objects made between collections: RPCs leave no cycles behind
     sweep_s: float = 1.0  # between looks at what has been idle for long
 
