A node is shunned for failing more than all nodes do; what has gone is forgotten

At fault: Node.ended shunned for any one ERROR, RESET or NO_CONNECT.

Now a node's failures add log odds against all nodes' share of the last 4 s (failure_step, as for builds); one failure still shuns where failures are rare. What ran on a node before it started anew says nothing of it. Gone nodes, rings of earlier builds and keys that all nodes may serve are forgotten: a test plays an hour and 41 builds, sizes stay.

--- a/brookreach/decide.py
+++ b/brookreach/decide.py
@@ -2,7 +2,6 @@
 
 One `Marshal` is one life of one instance. Call `begin(now)` once, then `handle(now, event)` for each event in
 order of arrival; both return the actions to carry out, in order. `now` is in ms and is the only clock.
-Events, actions and start-up facts are defined in `brookreach/interface.py`.
 
 Inside, each node is an actor (`Node`), and so are the desk that places RPCs (`Desk`) and the judge of builds
 (`Judge`). They talk only by notes put into inboxes, which the one loop in `Marshal` empties in their order.
@@ -25,6 +24,8 @@
 
 BACKWARDS = (Phase.GOING_BACK, Phase.WITHDRAWN)
 NEVER_RAN = (Ending.FULL, Ending.NO_CONNECT, Ending.MOOT)
+FAILED = (Ending.NO_CONNECT, Ending.ERROR, Ending.RESET)
+DOUBT = 3.2  # log odds: one failure where FLOOR is usual, two close together where they are more common
 WELL, ERRING, SILENT = 0, 1, 2  # how sick a node is
 FLOOR, BEAT_MS, HOLD_MS = 0.02, 250.0, 50.0  # FLOOR: of the before-rate
 WARM_UP_MS, CARRIED_MS = 3000.0, 4000.0  # a trial node's; over the other a warm node shows what it carries
@@ -42,7 +43,6 @@
         self.past, self.oldest = 0.0, 0.0  # of all buckets but the newest; of the oldest
 
     def roll(self, now: float) -> None:
-        """Sums are made once a bucket: they are asked for at every event."""
         mark = int(now // self.width)
         if mark != self.mark:
             low = mark - self.buckets
@@ -142,7 +142,8 @@
         self.entry = entry
         # A node that comes cold may run a build that needs more work: twice until its answers tell.
         self.slow = 2.0 if entry.started_ms else 1.0
-        self.shy_until, self.shy_ms, self.ails, self.room, self.room_at = 0.0, 0.0, WELL, 0.0, 0.0
+        self.shy_until, self.shy_ms, self.doubt, self.ails = 0.0, 0.0, 0.0, WELL
+        self.room, self.room_at = 0.0, 0.0
 
     def listed(self, entry: NodeEntry) -> None:
         if (entry.started_ms, entry.build) != (self.entry.started_ms, self.entry.build):
@@ -150,13 +151,11 @@
         self.entry = entry
 
     def call(self, now: float, rpc: Rpc, cost: float, typical: float, rate: float) -> None:
-        """Answer the desk's call for bids: none when it must not or cannot take this RPC."""
         entry, warm = self.entry, warmth(self.entry, now, self.guards)
         fit = entry.state == NodeState.READY
         if fit and warm < 1.0:
-            # All marshals keep to their share of what warm nodes carry, so that together they stay inside.
-            # Room accrues, from a phase by chance: hundreds that each send little start the right number
-            # of RPCs between them, and not at once. Work that takes longer here counts for more.
+            # Each marshal keeps to its share of what warm nodes carry. Room accrues, from a phase by chance:
+            # hundreds that each send little start the right number of RPCs between them, and not at once.
             pace = 0.4 * self.guards.fall_multiple * warm * rate * entry.size
             most = 0.2 * pace * self.guards.fall_ms
             if not self.room_at:
@@ -174,9 +173,12 @@
         self.out += 1
         self.room -= cost * max(1.0, self.slow)
 
-    def ended(self, now: float, event: PickEnded, typical: float, soft_ms: float, calm: bool) -> None:
+    def ended(self, now: float, event: PickEnded, at: NodeEntry, typical: float, soft_ms: float, calm: bool,
+              usual: float) -> None:
         entry, ending, slow = self.entry, event.ending, event.took_ms > max(0.5 * soft_ms, 4.0 * typical)
         self.out -= 1
+        if (at.started_ms, at.build) != (entry.started_ms, entry.build):
+            return  # it tells of what ran here before
         if ending == Ending.OK:
             pace = min(20.0, event.took_ms / typical * warmth(entry, now, self.guards))
             self.slow += 0.1 * (pace - self.slow)
@@ -185,8 +187,12 @@
                 if not self.shy_ms:
                     self.desk.acts.append(LogLine(f"node {entry.node} back"))
         # A long wait tells of this node while few are late, and of no node when all are: then it is a jam.
-        if now >= self.shy_until and (ending in (Ending.NO_CONNECT, Ending.ERROR, Ending.RESET) or (
-                calm and slow and (ending == Ending.TIMEOUT or (ending == Ending.OK and self.few)))):
+        bad = ending in FAILED or (
+            calm and slow and (ending == Ending.TIMEOUT or (ending == Ending.OK and self.few)))
+        # One failure tells of this node only where failures are rare: `usual` is all nodes' share of them.
+        self.doubt = max(0.0, self.doubt + failure_step(bad, usual, 0.5))
+        if bad and now >= self.shy_until and (self.shy_ms or self.doubt > DOUBT):
+            self.doubt = 0.0
             self.shy_ms = min(16.0 * self.least_ms, max(self.least_ms, 2.0 * self.shy_ms))
             self.shy_until = now + self.shy_ms
             self.ails = ERRING if ending == Ending.ERROR else SILENT
@@ -206,36 +212,38 @@
         self.nodes: dict[int, Node] = {}
         self.rpcs: dict[int, Rpc] = {}
         self.news: RolloutNews | None = None
-        # A method's usual answer time, and the usual hint of its cost by which one RPC's is scaled.
         self.usual_ms = [m.soft_ms / 5.0 for m in start.methods]
         self.usual_cost: list[float | None] = [None] * len(start.methods)
         self.entries: dict[int, NodeEntry] = {}
         # By build on trial, 0 for all earlier ones: the ready nodes, and the near ones again.
         self.field: dict[int, tuple[Side, Side]] = {}
-        self.survey_at, self.warm_size = now, 0.0
+        self.survey_at, self.warm_size, self.few = now, 0.0, sees_few(start)
         # What warm nodes carry: cost a ms and unit of size.
         self.rate, self.carried = 0.0, Ring(CARRIED_MS, 16)
-        self.few, self.spare = sees_few(start), 1.0  # spare: second copies to send, one for ten RPCs
-        self.ends, self.lates = Ring(4000.0, 8), Ring(4000.0, 8)  # picks that ended; those late, or nearly
+        self.spare = 1.0  # second copies to send, one for ten RPCs
+        # Picks that ended with an answer or by time, of them those late, or nearly; and those that failed.
+        self.ends, self.lates, self.fails = Ring(4000.0, 8), Ring(4000.0, 8), Ring(4000.0, 8)
         self.one_way: dict[int, int] = {}
 
     def listing(self, now: float, event: NodeList) -> None:
         changed = {entry.node: entry for entry in event.entries}
         if event.kind in (ListKind.FULL, ListKind.CACHED):  # what a complete list leaves out has been removed
-            gone = {key: replace(old, state=NodeState.GONE) for key, old in self.entries.items()}
-            changed = gone | changed
+            changed = {k: replace(old, state=NodeState.GONE) for k, old in self.entries.items()} | changed
         self.entries |= changed
         for one in changed.values():
-            if one.node in self.nodes:
-                self.nodes[one.node].tell("listed", one)
-            else:
+            if one.node not in self.nodes:
                 self.nodes[one.node] = Node(self.due, self, one, self.guards, self.chance.random(), self.few)
+            self.nodes[one.node].tell("listed", one)
+        for key in [k for k, e in self.entries.items() if e.state == NodeState.GONE]:
+            if not self.nodes[key].out:  # should it come back, it is a new node
+                del self.entries[key], self.nodes[key]
         self.survey_at = now
         self.judge.tell("listed", [e for e in self.entries.values() if e.state == NodeState.READY])
 
     def told(self, now: float, news: RolloutNews) -> None:
-        if news.phase in BACKWARDS:
-            self.one_way.clear()
+        low = math.inf if news.phase in BACKWARDS else min([e.build for e in self.entries.values()] or [0])
+        self.one_way = {k: build for k, build in self.one_way.items() if build > low}
+        self.rings = {key: ring for key, ring in self.rings.items() if not key[1] or key[1] >= news.build}
         self.news, self.survey_at = news, now
 
     def taken_in(self, now: float, event: RpcTaken) -> None:
@@ -258,8 +266,7 @@
         return self.usual_ms[rpc.method] * (rpc.cost / usual if rpc.cost and usual else 1.0)
 
     def survey(self, now: float) -> None:
-        """Sort the ready nodes by side; anew after changes and, while any are cold, each beat. What a node
-        can do goes by size and warmth: slowness shows in its wait, and a slow build must not hide."""
+        """Sort the ready nodes by side and size; anew after changes and, while any are cold, each beat."""
         if now < self.survey_at or self.news is None:
             return
         able: dict[int, list[tuple[NodeEntry, float]]] = {}
@@ -278,7 +285,7 @@
                       for build, some in sorted(able.items())}
 
     def sides(self, now: float, rpc: Rpc) -> list[tuple[Side, Side]]:
-        """What the rules leave to this RPC now; further picks go to the earlier build while they can."""
+        """What the rules leave to this RPC; further picks go to the earlier build while they can."""
         floor = self.one_way.get(rpc.key, 0) if rpc.key else 0
         sides = [both for build, both in self.field.items() if build == 0 or self.exposed(now, rpc, build)]
         if not rpc.picks and not floor:
@@ -290,7 +297,6 @@
         return [(side, Side([])) for side in (narrow[:1] if rpc.picks else narrow)]
 
     def ask(self, now: float, rpc: Rpc, most: int = FEW) -> None:
-        """Draw a few nodes and ask them for bids; one event makes one call at most: bids are never stale."""
         self.survey(now)
         sides = self.sides(now, rpc)
         if most == FEW and sides:
@@ -311,8 +317,8 @@
             self.tell("chosen", now, rpc)
 
     def chosen(self, now: float, rpc: Rpc) -> None:
-        """Of the nodes that could, the one with the shortest wait; sick ones where all are. Trial nodes that
-        err keep their picks where own outcomes judge, or the charts would starve; the cap bounds the harm."""
+        """The shortest wait of those that could; sick ones where all are. Trial nodes that err keep their
+        picks where own outcomes judge, or the charts would starve."""
         well = [b for b in rpc.bids if b[1] < (
             SILENT if self.on_trial(b[0].build) and not self.few else ERRING)]
         if not well and rpc.drawn == FEW and self.field:
@@ -334,7 +340,6 @@
         return self.rings.setdefault(key, Ring(self.exposure.window_ms))
 
     def exposed(self, now: float, rpc: Rpc, build: int) -> bool:
-        """Whether the exposure rule lets this RPC go to this build on trial now."""
         news = self.news
         assert news is not None
         stage, cap = (news.stage, news.cap) if build == news.build else (0, self.exposure.caps[0])
@@ -357,7 +362,6 @@
             self.acts.append(SetTimer(after, 4 * rpc.id + RPC_COPY))
 
     def hold(self, now: float, rpc: Rpc) -> None:
-        """No node can take it now: keep it while it can still be answered in time, else say so at once."""
         if now + 0.4 * rpc.facts.soft_ms > rpc.soft or len(rpc.picks) >= self.permits.max_picks:
             self.give_up(now, rpc)
         else:
@@ -394,9 +398,11 @@
         if rpc is None or event.nth >= len(rpc.picks):
             return
         pick = rpc.picks[event.nth]
-        entry, pick[2] = pick[0], event.ending
-        self.nodes[entry.node].tell("ended", now, event, self.typical(rpc), rpc.facts.soft_ms,
-                                     self.lates.total(now) < 0.35 * (self.ends.total(now) + 1.0))
+        entry, pick[2], ends, fails = pick[0], event.ending, self.ends.total(now), self.fails.total(now)
+        self.nodes[entry.node].tell("ended", now, event, entry, self.typical(rpc), rpc.facts.soft_ms,
+                                    self.lates.total(now) < 0.35 * (ends + 1.0),
+                                    max(FLOOR, fails / (ends + fails + 1.0)))
+        self.fails.add(now, event.ending in FAILED)
         if event.ending == Ending.OK:
             work = min(event.took_ms, 0.5 * rpc.facts.soft_ms)  # queues are no work
             self.usual_ms[rpc.method] += 0.02 * (work - self.usual_ms[rpc.method])
@@ -425,8 +431,7 @@
 
 
 class Chart:
-    """One stream's CUSUM: it starts at 0 and never falls below. No node alone may carry it far: what one node
-    has added since the chart last stood at 0 ends at `most`."""
+    """One stream's CUSUM, at 0 or above. What one node has added since it last stood at 0 ends at `most`."""
 
     def __init__(self, threshold: float) -> None:
         self.threshold, self.level = threshold, 0.0
@@ -454,7 +459,7 @@
 
 
 def speed_step(over: float, variance: float) -> float:
-    """The same for the log of a time over the earlier build's: a normal mean shifted by 0.6."""
+    """The same for the log of a time over the earlier build's, shifted by 0.6."""
     return 0.6 * (over - 0.3) / variance
 
 
@@ -467,8 +472,7 @@
         self.marshals, self.shares, self.places = start.place.marshals, start.rollout.stage_shares, 0
         self.ready: list[NodeEntry] = []
         self.tally_ms, self.few = start.rollout.tally_ms, sees_few(start)
-        # A method's charts: failures and speed, of own outcomes and, where these are few, of tallied ones.
-        # Tallied ones cross at all marshals alike: their false alarms don't add up over marshals.
+        # A method's charts: failures and speed, own and, where few, tallied: these cross at all alike.
         weight = (0.25 if self.few else 0.5) / len(start.methods)
         self.shared = math.log(100_000.0) - math.log(weight)
         self.threshold = self.shared + math.log(max(1, self.marshals))
@@ -496,10 +500,8 @@
             return  # decided, or nothing left to compare with
         cold = entry.started_ms > 0.0 and sent < entry.started_ms + WARM_UP_MS
         self.seen += 1
-        # One bad node is not a bad build: of several trial nodes two thirds, of many a few must speak up.
         peers = sum(one.build == entry.build for one in self.ready)
         most = max(3.2, 1.5 * self.threshold / max(1, peers))
-        # My failure share on the earlier build is the before-rate, floored; below 20 outcomes the floor.
         if not (late and cold):  # a cold node is slow whatever its build; errors count at once
             before = max(FLOOR, failed / count) if count >= 20 else FLOOR
             self.step(now, method, "failures", failure_step(failure, before, 0.15), before, entry.node, most)
@@ -510,8 +512,7 @@
             self.step(now, method, "speed", max(-2.0, min(2.0, size)), mean, entry.node, most)
 
     def tally(self, now: float, told: Tally) -> None:
-        """What the platform counted of all picks: evidence for a marshal that sees few, against its count of
-        the earlier build in the same seconds. Late or lost ones only delay it; no tally alone crosses."""
+        """What the platform counted of all picks, for a marshal that sees few; no tally alone crosses."""
         news, good = self.news, told.count - told.failed
         if news is None or not self.few or told.count == 0 or told.build > news.build:
             return
@@ -536,8 +537,8 @@
         limit = self.shared if node < 0 else self.threshold
         news, chart = self.news, self.charts.setdefault((method, stream), Chart(limit))
         chart.step(size, node, most)
-        # Tallies don't name nodes, and a bad node looks like a bad build in them: they send back where two
-        # nodes stand in my own charts, or many votes must agree on three; else they only withhold on.
+        # A bad node looks like a bad build in tallies: they send back where two nodes stand in my own charts,
+        # or many votes must agree on three; else they only withhold on.
         chart.level = min(chart.level, chart.threshold)
         trial = [one.node for one in self.ready if news and one.build == news.build]
         stood = {one for (_, own), its in self.charts.items() if own in stream for one in its.added} - {-1}
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,5 +1,7 @@
 """Each of the five rules at its edge, as traces of the module alone."""
 
+import itertools
+
 from brookreach import interface as ifc
 
 from .helpers import IDEM, ONCE, TOKEN, TraceCase, World, method, node, start
@@ -114,6 +116,55 @@
         world.quietly(250)
         self.compare("node_returns", world.trace)
 
+    def test_failures_of_any_node_shun_none(self):
+        world = plain(*(node(one) for one in range(1, 11)))
+        picks = itertools.count(1)
+        world.quietly(600, fails=lambda number: next(picks) % 9 == 0)
+        shunned, turn = sum("shunned" in t for t in world.trace), itertools.cycle([True, False])
+        trace = [f"every ninth pick at ten nodes fails, 600 RPCs: shunned {shunned} times"]
+        world.trace = []
+        world.quietly(600, fails=lambda number: next(picks) % 9 == 0 or (number == 2 and next(turn)))
+        shuns = [t.split("node ")[1].split()[0] for t in world.trace if "shunned" in t]
+        trace.append("node 2 fails every other pick besides, shunned: " + ", ".join(
+            f"node {number} {shuns.count(number)} times" for number in sorted(set(shuns))))
+        self.compare("shuns_none", trace)
+
+    def test_what_ran_before_tells_nothing_of_a_node(self):
+        world = plain(node(1))
+        rpcs = [world.rpc() for _ in range(3)]
+        world.nodes(node(1, build=2, started=world.now - 1.0))
+        for rpc in rpcs:
+            world.end(rpc, ifc.Ending.RESET)
+        desk = world.marshal.desk
+        world.say(f"out {desk.nodes[1].out}, shunned {desk.nodes[1].shy_ms:.0f} ms, doubt {desk.nodes[1].doubt:.1f}")
+        self.compare("ran_before", [t for t in world.trace if "--" in t or "shun" in t])
+
+    def test_nothing_grows_with_time(self):
+        world, trace = plain(one_way=True, methods=(method(), method(ONCE)), by_method=True), []
+        for build in range(2, 42):
+            number = 10 * build
+            world.nodes(*(node(number + at, build=build, started=world.now - 1.0) for at in range(3)),
+                        kind=ifc.ListKind.FULL if build % 2 else ifc.ListKind.DELTA)
+            world.news(build, 1, 0.5)
+            for at in range(150):
+                world.wait(400.0)
+                world.rpc(at % 2, key=1000 * build + at)
+                world.wait(200.0)
+                for rpc, picks in world.open.items():
+                    for nth in range(len(picks)):
+                        world.end(rpc, took=100.0, nth=nth)
+                world.open = {}
+            world.nodes(*(node(number - 10 + at, build=build - 1, state=GONE) for at in range(3)),
+                        kind=ifc.ListKind.DELTA)
+            world.news(build, 2, 1.0, ifc.Phase.RELEASED)
+            if build in (11, 41):
+                desk, judge = world.marshal.desk, world.marshal.judge
+                sizes = {"nodes": desk.nodes, "entries": desk.entries, "rings": desk.rings, "keys": desk.one_way,
+                         "rpcs": desk.rpcs, "sides": desk.field, "charts": judge.charts, "ready": judge.ready}
+                trace.append(f"{build} builds: {', '.join(f'{name} {len(part)}' for name, part in sizes.items())}")
+            world.trace = []
+        self.compare("grows", [f"{world.now / 3_600_000:.1f} hours", *trace])
+
     def test_held_rpcs_go_when_a_node_comes_and_no_later_than_helps(self):
         world = plain()
         world.nodes()
