Builds held to like load, nodes to most nodes' failures; one bad trial node is left out

Later a quarter of all picks erred: nodes on trial kept their picks whatever they erred, with all nodes on trial. The mean share of failures rose with the sick nodes, so none was shunned. Ruled out: capacity before the way back (290 of 320 RPCs/s), memory, silent crowds. At fault: Judge.outcome, Desk.chosen, Desk.ended.

Now lateness and speed count only under the load that the earlier build was seen at, errors against errors; the usual share of failures is that of the three quarters of nodes that fail least; two failures shun, odds have to fall before a node is back; trial nodes that err are left out while they are fewer than half. Tests: load, shuns_none, bad_trial_node.

--- a/brookreach/decide.py
+++ b/brookreach/decide.py
@@ -3,8 +3,8 @@
 One `Marshal` is one life of one instance. Call `begin(now)` once, then `handle(now, event)` for each event in
 order of arrival; both return the actions to carry out, in order. `now` is in ms and is the only clock.
 
-Inside, each node is an actor (`Node`), and so are the desk that places RPCs (`Desk`) and the judge of builds
-(`Judge`). They talk only by notes put into inboxes, which the one loop in `Marshal` empties in their order.
+Inside, `Node`, `Desk`, which places RPCs, and `Judge` of builds are actors. They talk only by notes put into
+inboxes, which the one loop in `Marshal` empties in their order.
 """
 
 from __future__ import annotations
@@ -25,7 +25,6 @@
 BACKWARDS = (Phase.GOING_BACK, Phase.WITHDRAWN)
 NEVER_RAN = (Ending.FULL, Ending.NO_CONNECT, Ending.MOOT)
 FAILED = (Ending.NO_CONNECT, Ending.ERROR, Ending.RESET)
-DOUBT = 3.2  # log odds: one failure where FLOOR is usual, two close together where they are more common
 WELL, ERRING, SILENT = 0, 1, 2  # how sick a node is
 FLOOR, BEAT_MS, HOLD_MS = 0.02, 250.0, 50.0  # FLOOR: of the before-rate
 WARM_UP_MS, CARRIED_MS = 3000.0, 4000.0  # a trial node's; over the other a warm node shows what it carries
@@ -65,8 +64,6 @@
 
 
 class Part:
-    """An actor with an inbox."""
-
     def __init__(self, due: Due):
         self.due = due
         self.inbox: deque[tuple[str, tuple[Any, ...]]] = deque()
@@ -96,7 +93,7 @@
 
 
 def may_go(rpc: Rpc, entry: NodeEntry, now: float, copies: bool) -> bool:
-    """Whether the method's kind lets this RPC have a pick at this node now; the only place that says so."""
+    """Whether the method's kind lets this RPC have a pick at this node now."""
     ran = rpc.may_have_run()
     if not ran:
         return True
@@ -135,7 +132,8 @@
     def __init__(self, due: Due, desk: Desk, entry: NodeEntry, guards: Guards, phase: float, few: bool):
         super().__init__(due)
         self.desk, self.guards, self.phase, self.few = desk, guards, phase, few
-        self.least_ms, self.out = 4000.0 if few else 500.0, 0  # out: picks that have not ended
+        # Log odds: where I see few, one failure must do where failures are rare; else two, or more.
+        self.least_ms, self.most_doubt, self.out = 4000.0 if few else 500.0, 3.2 if few else 5.0, 0
         self.renew(entry)
 
     def renew(self, entry: NodeEntry) -> None:
@@ -143,7 +141,7 @@
         # A node that comes cold may run a build that needs more work: twice until its answers tell.
         self.slow = 2.0 if entry.started_ms else 1.0
         self.shy_until, self.shy_ms, self.doubt, self.ails = 0.0, 0.0, 0.0, WELL
-        self.room, self.room_at = 0.0, 0.0
+        self.room, self.room_at, self.tried, self.failed = 0.0, 0.0, 0.0, 0.0  # of the last 20 picks or so
 
     def listed(self, entry: NodeEntry) -> None:
         if (entry.started_ms, entry.build) != (self.entry.started_ms, self.entry.build):
@@ -179,20 +177,21 @@
         self.out -= 1
         if (at.started_ms, at.build) != (entry.started_ms, entry.build):
             return  # it tells of what ran here before
+        # A long wait tells of this node while few are late, and of no node when all are: then it is a jam.
+        bad = ending in FAILED or (
+            calm and slow and (ending == Ending.TIMEOUT or (ending == Ending.OK and self.few)))
+        # One failure tells of this node only where failures are rare: `usual` is most nodes' share of them.
+        self.tried, self.failed = 0.95 * self.tried + 1.0, 0.95 * self.failed + bad
+        self.doubt = max(0.0, self.doubt + failure_step(bad, usual, 0.5))
         if ending == Ending.OK:
             pace = min(20.0, event.took_ms / typical * warmth(entry, now, self.guards))
             self.slow += 0.1 * (pace - self.slow)
-            if self.shy_ms and now >= self.shy_until:
+            if self.shy_ms and now >= self.shy_until and self.doubt < 0.3 * self.most_doubt:
                 self.shy_ms = 0.5 * self.shy_ms if self.shy_ms > self.least_ms else 0.0
                 if not self.shy_ms:
                     self.desk.acts.append(LogLine(f"node {entry.node} back"))
-        # A long wait tells of this node while few are late, and of no node when all are: then it is a jam.
-        bad = ending in FAILED or (
-            calm and slow and (ending == Ending.TIMEOUT or (ending == Ending.OK and self.few)))
-        # One failure tells of this node only where failures are rare: `usual` is all nodes' share of them.
-        self.doubt = max(0.0, self.doubt + failure_step(bad, usual, 0.5))
-        if bad and now >= self.shy_until and (self.shy_ms or self.doubt > DOUBT):
-            self.doubt = 0.0
+        if bad and now >= self.shy_until and self.doubt >= self.most_doubt:
+            self.doubt = 0.5 * self.most_doubt
             self.shy_ms = min(16.0 * self.least_ms, max(self.least_ms, 2.0 * self.shy_ms))
             self.shy_until = now + self.shy_ms
             self.ails = ERRING if ending == Ending.ERROR else SILENT
@@ -218,11 +217,10 @@
         # By build on trial, 0 for all earlier ones: the ready nodes, and the near ones again.
         self.field: dict[int, tuple[Side, Side]] = {}
         self.survey_at, self.warm_size, self.few = now, 0.0, sees_few(start)
-        # What warm nodes carry: cost a ms and unit of size.
-        self.rate, self.carried = 0.0, Ring(CARRIED_MS, 16)
-        self.spare = 1.0  # second copies to send, one for ten RPCs
-        # Picks that ended with an answer or by time, of them those late, or nearly; and those that failed.
-        self.ends, self.lates, self.fails = Ring(4000.0, 8), Ring(4000.0, 8), Ring(4000.0, 8)
+        self.rate, self.carried = 0.0, Ring(CARRIED_MS, 16)  # cost a ms and unit of size, of warm nodes
+        self.spare, self.usual, self.suspect = 1.0, FLOOR, True  # spare: second copies, one for ten RPCs
+        self.ends, self.lates = Ring(4000.0, 8), Ring(4000.0, 8)  # picks that ended; those late, or nearly
+        self.flow = Ring(1000.0, 10)  # RPCs taken just now
         self.one_way: dict[int, int] = {}
 
     def listing(self, now: float, event: NodeList) -> None:
@@ -249,6 +247,7 @@
     def taken_in(self, now: float, event: RpcTaken) -> None:
         rpc = self.rpcs[event.rpc] = Rpc(now, event, self.methods[event.method])
         self.ring(rpc.method, 0).add(now)
+        self.flow.add(now)
         self.spare = min(3.0, self.spare + 0.1)
         if rpc.cost:
             usual = self.usual_cost[rpc.method] or rpc.cost
@@ -317,10 +316,10 @@
             self.tell("chosen", now, rpc)
 
     def chosen(self, now: float, rpc: Rpc) -> None:
-        """The shortest wait of those that could; sick ones where all are. Trial nodes that err keep their
-        picks where own outcomes judge, or the charts would starve."""
+        """The shortest wait of those that could; sick ones where all are. Where half of the trial nodes err
+        they keep their picks, if own outcomes judge: the charts would starve. Fewer are bad nodes."""
         well = [b for b in rpc.bids if b[1] < (
-            SILENT if self.on_trial(b[0].build) and not self.few else ERRING)]
+            SILENT if self.suspect and self.on_trial(b[0].build) and not self.few else ERRING)]
         if not well and rpc.drawn == FEW and self.field:
             self.tell("ask", now, rpc, MORE)
         elif rpc.bids:
@@ -351,13 +350,12 @@
         return cap > 0.0 and self.ring(rpc.method, build).total(now) + 1.0 <= free + cap * taken
 
     def send(self, now: float, rpc: Rpc, entry: NodeEntry) -> None:
-        nth, cost = len(rpc.picks), rpc.cost or self.usual_ms[rpc.method]
         rpc.picks.append([entry, now, None])
         if self.on_trial(entry.build):
             self.ring(rpc.method, entry.build).add(now)
-        self.nodes[entry.node].tell("took", cost)
+        self.nodes[entry.node].tell("took", rpc.cost or self.usual_ms[rpc.method])
         self.acts.append(Pick(rpc.id, entry.node, rpc.end - now - 5.0))
-        if nth == 0 and self.permits.second_copies and rpc.facts.repeat == Repeat.IDEMPOTENT:
+        if len(rpc.picks) == 1 and self.permits.second_copies and rpc.facts.repeat == Repeat.IDEMPOTENT:
             after = max(3.0 * self.typical(rpc), 0.25 * rpc.facts.soft_ms)
             self.acts.append(SetTimer(after, 4 * rpc.id + RPC_COPY))
 
@@ -398,11 +396,9 @@
         if rpc is None or event.nth >= len(rpc.picks):
             return
         pick = rpc.picks[event.nth]
-        entry, pick[2], ends, fails = pick[0], event.ending, self.ends.total(now), self.fails.total(now)
+        entry, pick[2] = pick[0], event.ending
         self.nodes[entry.node].tell("ended", now, event, entry, self.typical(rpc), rpc.facts.soft_ms,
-                                    self.lates.total(now) < 0.35 * (ends + 1.0),
-                                    max(FLOOR, fails / (ends + fails + 1.0)))
-        self.fails.add(now, event.ending in FAILED)
+                                    self.lates.total(now) < 0.35 * (self.ends.total(now) + 1.0), self.usual)
         if event.ending == Ending.OK:
             work = min(event.took_ms, 0.5 * rpc.facts.soft_ms)  # queues are no work
             self.usual_ms[rpc.method] += 0.02 * (work - self.usual_ms[rpc.method])
@@ -414,7 +410,7 @@
             self.ends.add(now)
             self.lates.add(now, event.ending != Ending.OK or event.took_ms > 0.6 * rpc.facts.soft_ms)
         self.judge.tell("outcome", now, entry, rpc.method, pick[1], event.ending, event.took_ms,
-                        rpc.cost or 1.0)
+                        rpc.cost or 1.0, self.flow.total(now))
         if event.final or rpc.done:
             self.finish(rpc)
         elif not rpc.pending():
@@ -425,6 +421,11 @@
                 self.give_up(now, rpc)
 
     def beat(self, now: float) -> None:
+        most = sorted(self.nodes.values(), key=lambda node: node.failed / (node.tried + 1.0))
+        most = most[:math.ceil(0.75 * len(most))]  # the few that are sick don't say what is usual
+        trial = [n for n in self.nodes.values() if self.on_trial(n.entry.build)]
+        self.suspect = 2 * sum([n.shy_ms > 0.0 and n.ails == ERRING for n in trial]) >= len(trial)
+        self.usual = max(FLOOR, sum([n.failed for n in most]) / (sum([n.tried for n in most]) + 1.0))
         if self.warm_size:
             rate = self.carried.total(now, inner=True) / CARRIED_MS / self.warm_size
             self.rate += 0.02 * (rate - self.rate) if self.rate else rate
@@ -468,8 +469,8 @@
 
     def __init__(self, due: Due, out: list[Action], start: Start):
         super().__init__(due)
-        self.acts, self.voting, self.methods = out, start.voting, start.methods
-        self.marshals, self.shares, self.places = start.place.marshals, start.rollout.stage_shares, 0
+        self.acts, self.voting, self.methods, self.places = out, start.voting, start.methods, 0
+        self.marshals, self.shares, self.crossed = start.place.marshals, start.rollout.stage_shares, -1
         self.ready: list[NodeEntry] = []
         self.tally_ms, self.few = start.rollout.tally_ms, sees_few(start)
         # A method's charts: failures and speed, own and, where few, tallied: these cross at all alike.
@@ -477,23 +478,24 @@
         self.shared = math.log(100_000.0) - math.log(weight)
         self.threshold = self.shared + math.log(max(1, self.marshals))
         self.tallied: dict[int, list[float]] = {}  # earlier builds, by method: outcomes, failures, ms, when
-        self.before: list[list[Ring]] = []  # by method: outcomes, failures, log times and their squares
+        # Of the earlier build, by method: outcomes, errors, failures, log times, their squares, my load then.
+        self.before: list[list[Ring]] = []
         self.charts: dict[tuple[int, str], Chart] = {}
         self.news: RolloutNews | None = None
-        self.crossed: int | None = None
         self.cast: tuple[Verdict, int, int] | None = None
-        self.seen, self.stage_at, self.cast_at, self.sure, self.retry_at = 0, 0.0, 0.0, False, 0.0
+        self.stage_at, self.cast_at, self.retry_at, self.sure, self.seen = 0.0, 0.0, 0.0, False, 0
 
     def outcome(self, now: float, entry: NodeEntry, method: int, sent: float, ending: Ending, took: float,
-                unit: float) -> None:
+                unit: float, load: float) -> None:
         news, late = self.news, took > self.methods[method].soft_ms
         if news is None or entry.build > news.build or ending in NEVER_RAN or (
                 ending in (Ending.CANCELLED, Ending.TIMEOUT) and not late):
             return  # the build did not see it, or it was cut shorter than the soft deadline
         failure, pace = late or ending != Ending.OK, math.log(max(1.0, took) / unit)
-        count, failed, paces, squares = (ring.total(now) for ring in self.before[method])
+        count, errors, failed, paces, squares, loads = (ring.total(now) for ring in self.before[method])
         if entry.build < news.build:
-            for ring, amount in zip(self.before[method], (1.0, failure, pace, pace * pace), strict=True):
+            seen = 1.0, failure and not late, failure, pace, pace * pace, load
+            for ring, amount in zip(self.before[method], seen, strict=True):
                 ring.add(now, amount)
             return
         if news.phase in BACKWARDS or (news.phase == Phase.RELEASED and count < 20):
@@ -502,13 +504,14 @@
         self.seen += 1
         peers = sum(one.build == entry.build for one in self.ready)
         most = max(3.2, 1.5 * self.threshold / max(1, peers))
-        if not (late and cold):  # a cold node is slow whatever its build; errors count at once
-            before = max(FLOOR, failed / count) if count >= 20 else FLOOR
+        # Lateness tells of a warm node's build where the earlier one served under like load; errors always.
+        like = count >= 20 and not cold and load < 1.2 * loads / count + 2.0 * math.sqrt(loads / count)
+        if not late or like or (count < 20 and not cold):
+            before = max(FLOOR, (errors if failure and not late else failed) / count if count >= 20 else 0.0)
             self.step(now, method, "failures", failure_step(failure, before, 0.15), before, entry.node, most)
-        if not cold and count >= 20 and (ending == Ending.OK or late):
+        if like and (ending == Ending.OK or late):  # a single answer counts no more than an error would
             mean = paces / count
             size = speed_step(pace - mean, max(0.16, squares / count - mean * mean))
-            # A single answer counts no more than an error would.
             self.step(now, method, "speed", max(-2.0, min(2.0, size)), mean, entry.node, most)
 
     def tally(self, now: float, told: Tally) -> None:
@@ -537,13 +540,12 @@
         limit = self.shared if node < 0 else self.threshold
         news, chart = self.news, self.charts.setdefault((method, stream), Chart(limit))
         chart.step(size, node, most)
-        # A bad node looks like a bad build in tallies: they send back where two nodes stand in my own charts,
-        # or many votes must agree on three; else they only withhold on.
+        # A bad node looks like a bad build in tallies: two must stand in my charts, or votes agree on three.
         chart.level = min(chart.level, chart.threshold)
         trial = [one.node for one in self.ready if news and one.build == news.build]
         stood = {one for (_, own), its in self.charts.items() if own in stream for one in its.added} - {-1}
         sure = node >= 0 or len(stood) > 1 or (self.voting.back_votes > 1 and len(trial) > 2)
-        if news and sure and chart.level >= chart.threshold and self.crossed is None:
+        if news and sure and chart.level >= chart.threshold and self.crossed < 0:
             self.crossed = news.build
             self.acts.append(LogLine(f"back {news.build}: method {method} {stream} {chart.level:.1f} of "
                                      f"{chart.threshold:.1f}, before {before:.3f}"))
@@ -558,8 +560,8 @@
         old = self.news
         if old is None or news.build != old.build:
             if old is None or old.phase == Phase.RELEASED:
-                self.before = [[Ring(20_000.0, 20) for _ in range(4)] for _ in self.methods]
-            self.charts, self.crossed = {}, None
+                self.before = [[Ring(20_000.0, 20) for _ in range(6)] for _ in self.methods]
+            self.charts, self.crossed = {}, -1
         if old is None or (news.build, news.stage, news.phase) != (old.build, old.stage, old.phase):
             self.seen, self.stage_at, self.cast = 0, now - news.age_ms, None
             self.acts.append(LogLine(
@@ -578,8 +580,7 @@
             return Verdict.BACK
         if news.phase != Phase.ON_TRIAL:
             return Verdict.NONE
-        hold = 0.2 if self.few else 0.5  # tallies come late and in small numbers: a fifth is doubt enough
-        doubt = any(c.level > hold * c.threshold for c in self.charts.values())
+        doubt = any(c.level > (0.2 if self.few else 0.5) * c.threshold for c in self.charts.values())
         if voting.gate == Gate.CLOCK:
             return Verdict.HOLD if doubt else Verdict.NONE
         starts = [entry.started_ms for entry in self.ready if entry.build == news.build]
@@ -607,8 +608,6 @@
 
 
 class Marshal:
-    """One life of one instance: the loop that empties the inboxes."""
-
     def __init__(self, start: Start):
         self.start = start
         self.acts: list[Action] = []
@@ -629,23 +628,22 @@
         return out
 
     def handle(self, now: float, event: Event) -> list[Action]:
-        desk, judge = self.desk, self.judge
         match event:
             case RpcTaken() | PickEnded() | RpcGone() | NodeList():
-                desk.tell(NOTES[type(event)], now, event)
+                self.desk.tell(NOTES[type(event)], now, event)
             case TimerRang(token=token):
                 if token % 4 == BEAT:
-                    desk.tell("beat", now)
-                    judge.tell("decide", now)
+                    self.desk.tell("beat", now)
+                    self.judge.tell("decide", now)
                     self.acts.append(SetTimer(BEAT_MS, BEAT))
                 else:
-                    desk.tell("rang", now, token // 4, token % 4)
+                    self.desk.tell("rang", now, token // 4, token % 4)
             case Tally():
-                judge.tell("tally", now, event)
+                self.judge.tell("tally", now, event)
             case RolloutNews():
                 if event.reply:
-                    judge.tell("reply", now, event.ending)
+                    self.judge.tell("reply", now, event.ending)
                 if event.ending == Ending.OK:
-                    desk.tell("told", now, event)
-                    judge.tell("told", now, event)
+                    self.desk.tell("told", now, event)
+                    self.judge.tell("told", now, event)
         return self.flush()
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -31,6 +31,41 @@
         world.quietly(600, fails=every_other())
         self.compare("bad_build", [t for t in world.trace if "node" not in t])
 
+    def test_load_is_no_bad_build(self):
+        """More RPCs make all answers slow, while both builds run and when only the new one is left."""
+        def slowly(world, took, count, gap=10.0, fails=lambda number: False):
+            for _ in range(count):
+                world.wait(gap)
+                rpc = world.rpc()
+                if rpc in world.open:
+                    bad = fails(world.open[rpc][-1][0])
+                    world.end(rpc, ifc.Ending.ERROR if bad else ifc.Ending.OK, took=took)
+
+        def said(world):
+            return [t for t in world.trace if "log: back" in t or "--" in t]
+
+        world = trial()
+        slowly(world, 100.0, 700)
+        world.say("more than twice the RPCs, answers take four times as long on both builds")
+        slowly(world, 100.0, 100, gap=4.0)  # queues take their time
+        slowly(world, 400.0, 500, gap=4.0)
+        world.say("all nodes run build 2; then many answers come after the soft deadline")
+        world.nodes(*(node(number, build=2, started=world.now - 5000.0) for number in (1, 2, 3, 4)))
+        slowly(world, 400.0, 200, gap=4.0)
+        slowly(world, 1600.0, 600, gap=4.0)
+        trace = said(world)
+        world = trial()
+        slowly(world, 100.0, 700)
+        world.say("no more RPCs, and answers take four times as long on both builds: build 2 burdens both")
+        slowly(world, 400.0, 400)
+        trace += said(world)
+        world = trial()
+        slowly(world, 100.0, 100)
+        world.say("late on both builds under more RPCs; then build 2 errs every other time")
+        slowly(world, 1600.0, 400, gap=4.0)
+        slowly(world, 100.0, 600, fails=every_other())
+        self.compare("load", trace + [t.split(" failures")[0] for t in said(world)])
+
     def test_on_waits_and_follows_the_stage(self):
         world = trial()
         world.say("nothing fails: on comes 3 s after the start, once; lost and full answers are tried again")
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -129,6 +129,17 @@
             f"node {number} {shuns.count(number)} times" for number in sorted(set(shuns))))
         self.compare("shuns_none", trace)
 
+    def test_one_bad_trial_node_is_left_out_and_a_bad_build_is_not(self):
+        trace = []
+        for bad in ((7,), (5, 6, 7, 8)):
+            world = plain(*(node(one, build=2 if one > 4 else 1) for one in range(1, 9)))
+            world.news(2, 1, 0.5)
+            world.quietly(60)
+            heard = []
+            world.quietly(200, fails=lambda number, bad=bad, heard=heard: heard.append(number) or number in bad)
+            trace.append(f"of trial nodes 5 to 8 {bad} err: {sum(number in bad for number in heard)} picks there")
+        self.compare("bad_trial_node", trace)
+
     def test_what_ran_before_tells_nothing_of_a_node(self):
         world = plain(node(1))
         rpcs = [world.rpc() for _ in range(3)]
