--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -207,11 +207,11 @@
                         continue
                     text = bytes(message[1][:-1]).decode()
                     self.heard.append(text)
-                    word = text.split("'")[1]
+                    word = text.split("'")[1] if "'" in text else ""
                     if word == "reset":
                         return
                     if word != "nothing":
-                        reply = b"".join(REPLIES[word])
+                        reply = b"".join(REPLIES.get(word, REPLIES["error"]))
                         if text.startswith("INSERT"):
                             reply = reply.replace(*WORDS)
                         await stream.send(reply)
