Load is RPCs for what ready nodes can do by warmth: a stage of cold nodes is no slow build

At fault: Judge.outcome held lateness and speed to 20 s in which all nodes were warm. Now the load is RPCs a second for the ready nodes' size by least warmth, shunned ones left out.

--- a/brookreach/decide.py
+++ b/brookreach/decide.py
@@ -218,9 +218,9 @@
         self.field: dict[int, tuple[Side, Side]] = {}
         self.survey_at, self.warm_size, self.few = now, 0.0, sees_few(start)
         self.rate, self.carried = 0.0, Ring(CARRIED_MS, 16)  # cost a ms and unit of size, of warm nodes
-        self.spare, self.usual, self.suspect = 1.0, FLOOR, True  # spare: second copies, one for ten RPCs
-        self.ends, self.lates = Ring(4000.0, 8), Ring(4000.0, 8)  # picks that ended; those late, or nearly
-        self.flow = Ring(1000.0, 10)  # RPCs taken just now
+        self.spare, self.usual, self.suspect, self.able = 1.0, FLOOR, True, 1.0  # spare: second copies
+        # Picks that ended; those late, or nearly; RPCs taken just now. `able`: what nodes can do, by warmth.
+        self.ends, self.lates, self.flow = Ring(4000.0, 8), Ring(4000.0, 8), Ring(1000.0, 10)
         self.one_way: dict[int, int] = {}
 
     def listing(self, now: float, event: NodeList) -> None:
@@ -316,8 +316,7 @@
             self.tell("chosen", now, rpc)
 
     def chosen(self, now: float, rpc: Rpc) -> None:
-        """The shortest wait of those that could; sick ones where all are. Where half of the trial nodes err
-        they keep their picks, if own outcomes judge: the charts would starve. Fewer are bad nodes."""
+        """The shortest wait; sick ones where all are. Where half of the trial nodes err they keep picks."""
         well = [b for b in rpc.bids if b[1] < (
             SILENT if self.suspect and self.on_trial(b[0].build) and not self.few else ERRING)]
         if not well and rpc.drawn == FEW and self.field:
@@ -410,7 +409,7 @@
             self.ends.add(now)
             self.lates.add(now, event.ending != Ending.OK or event.took_ms > 0.6 * rpc.facts.soft_ms)
         self.judge.tell("outcome", now, entry, rpc.method, pick[1], event.ending, event.took_ms,
-                        rpc.cost or 1.0, self.flow.total(now))
+                        rpc.cost or 1.0, self.flow.total(now), self.able)
         if event.final or rpc.done:
             self.finish(rpc)
         elif not rpc.pending():
@@ -421,12 +420,14 @@
                 self.give_up(now, rpc)
 
     def beat(self, now: float) -> None:
+        up = [n.entry for n in self.nodes.values() if n.entry.state == NodeState.READY and now >= n.shy_until]
+        self.able = max(1.0, sum([entry.size * warmth(entry, now, self.guards) for entry in up]))
         most = sorted(self.nodes.values(), key=lambda node: node.failed / (node.tried + 1.0))
         most = most[:math.ceil(0.75 * len(most))]  # the few that are sick don't say what is usual
         trial = [n for n in self.nodes.values() if self.on_trial(n.entry.build)]
         self.suspect = 2 * sum([n.shy_ms > 0.0 and n.ails == ERRING for n in trial]) >= len(trial)
         self.usual = max(FLOOR, sum([n.failed for n in most]) / (sum([n.tried for n in most]) + 1.0))
-        if self.warm_size:
+        if self.warm_size > 0.0:
             rate = self.carried.total(now, inner=True) / CARRIED_MS / self.warm_size
             self.rate += 0.02 * (rate - self.rate) if self.rate else rate
 
@@ -486,7 +487,7 @@
         self.stage_at, self.cast_at, self.retry_at, self.sure, self.seen = 0.0, 0.0, 0.0, False, 0
 
     def outcome(self, now: float, entry: NodeEntry, method: int, sent: float, ending: Ending, took: float,
-                unit: float, load: float) -> None:
+                unit: float, flow: float, able: float) -> None:
         news, late = self.news, took > self.methods[method].soft_ms
         if news is None or entry.build > news.build or ending in NEVER_RAN or (
                 ending in (Ending.CANCELLED, Ending.TIMEOUT) and not late):
@@ -494,7 +495,7 @@
         failure, pace = late or ending != Ending.OK, math.log(max(1.0, took) / unit)
         count, errors, failed, paces, squares, loads = (ring.total(now) for ring in self.before[method])
         if entry.build < news.build:
-            seen = 1.0, failure and not late, failure, pace, pace * pace, load
+            seen = 1.0, failure and not late, failure, pace, pace * pace, flow / able
             for ring, amount in zip(self.before[method], seen, strict=True):
                 ring.add(now, amount)
             return
@@ -502,10 +503,10 @@
             return  # decided, or nothing left to compare with
         cold = entry.started_ms > 0.0 and sent < entry.started_ms + WARM_UP_MS
         self.seen += 1
-        peers = sum(one.build == entry.build for one in self.ready)
-        most = max(3.2, 1.5 * self.threshold / max(1, peers))
-        # Lateness tells of a warm node's build where the earlier one served under like load; errors always.
-        like = count >= 20 and not cold and load < 1.2 * loads / count + 2.0 * math.sqrt(loads / count)
+        most = max(3.2, 1.5 * self.threshold / max(1, sum(one.build == entry.build for one in self.ready)))
+        # Lateness tells of a warm node's build where the earlier one bore as many RPCs for what nodes can do.
+        usual = able * loads / max(1.0, count)
+        like = count >= 20 and not cold and flow < 1.2 * usual + 2.0 * math.sqrt(usual)
         if not late or like or (count < 20 and not cold):
             before = max(FLOOR, (errors if failure and not late else failed) / count if count >= 20 else 0.0)
             self.step(now, method, "failures", failure_step(failure, before, 0.15), before, entry.node, most)
@@ -575,13 +576,12 @@
             self.retry_at = now + max(500.0, 2000.0 * self.marshals / max(0.1, self.voting.votes_per_s))
 
     def wanted(self, now: float, news: RolloutNews) -> Verdict:
-        voting = self.voting
         if self.crossed == news.build and news.phase in (Phase.ON_TRIAL, Phase.RELEASED):
             return Verdict.BACK
         if news.phase != Phase.ON_TRIAL:
             return Verdict.NONE
         doubt = any(c.level > (0.2 if self.few else 0.5) * c.threshold for c in self.charts.values())
-        if voting.gate == Gate.CLOCK:
+        if self.voting.gate == Gate.CLOCK:
             return Verdict.HOLD if doubt else Verdict.NONE
         starts = [entry.started_ms for entry in self.ready if entry.build == news.build]
         if not starts or doubt or now < max(starts) + WARM_UP_MS + BEAT_MS:  # a beat for late clocks
