Build from requirements.txt alone: structlog named by the command line, not by net/report

Seen: on a clean machine 'make -s build' stops in mypyc, 'Cannot find implementation or library stub for module named "structlog"', brookreach/net/report.py:40. Checked: build/mypyc.log of a checkout without the tools holds this one error; ruled out: any further library (with the line moved the same venv compiles all files listed). At fault: structured() in net/report.py, a compiled file, which named a library of requirements-tools.txt.

Change: what writes a line is handed to Report; cli/structured.py makes the one for JSON.

--- a/brookreach/__main__.py
+++ b/brookreach/__main__.py
@@ -11,7 +11,7 @@
 import os
 import signal
 import sys
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from pathlib import Path
 from typing import Any
 
@@ -24,7 +24,7 @@
 from brookreach.net.driver import Clock, Driver
 from brookreach.net.limits import Limits, limits_from
 from brookreach.net.platform import Platform, news_from
-from brookreach.net.report import Report
+from brookreach.net.report import Report, Writer
 from brookreach.net.stream import Poller, address
 
 
@@ -59,14 +59,15 @@
 class Parts:
     """All parts of one marshal, built from its configuration."""
 
-    def __init__(self, told: Mapping[str, Any], form: str = "plain"):
+    def __init__(self, told: Mapping[str, Any], lines: Callable[[str], Writer | None] | None = None):
         try:
             settings = told["settings"]
             start = facts.start_from(int(str(told["seed"]), 16), settings)
             self.limits: Limits = limits_from(told["limits"], settings)
             self.at = told["listen"]
             address(self.at)
-            self.report = Report(str(told["name"]), self.limits.lines, form)
+            name = str(told["name"])
+            self.report = Report(name, self.limits.lines, lines(name) if lines else None)
             self.poller = Poller(self.limits.sockets, self.fault)
             self.driver = Driver(start, self.limits, self.report, Clock(), self.poller)
             self.told, self.stops, self.serving = told, False, anyio.Event()
@@ -156,11 +157,13 @@
 EARLY: list[int] = []  # SIGHUPs that came before the parts were there
 
 
-def serve(form: str = "plain", record: Path | None = None) -> int:
-    """One marshal to its end; `record` is where the verdicts on its last builds are kept, if anywhere."""
+def serve(lines: Callable[[str], Writer | None] | None = None, record: Path | None = None) -> int:
+    """One marshal to its end; `lines` makes by its name what writes its log, if not plain; `record` is where
+    the verdicts on its last builds are kept, if anywhere.
+    """
     signal.signal(signal.SIGHUP, lambda number, frame: EARLY.append(number))
     try:
-        parts = Parts(configuration(os.environ), form)
+        parts = Parts(configuration(os.environ), lines)
         if record is not None:
             from brookreach.verdict.keep import keep
 
--- a/brookreach/cli/run.py
+++ b/brookreach/cli/run.py
@@ -6,6 +6,7 @@
 
 import os
 import sys
+from functools import partial
 from pathlib import Path
 
 import click
@@ -28,7 +29,8 @@
 def run(config: Path | None, log: str, record: Path | None) -> None:
     """Start one marshal with the configuration CONFIG, or the one that PROXY_CONFIG names."""
     from brookreach import __main__ as marshal
+    from brookreach.cli.structured import writer
 
     if config is not None:
         os.environ["PROXY_CONFIG"] = str(config)
-    sys.exit(marshal.serve(log, record))
+    sys.exit(marshal.serve(partial(writer, log), record))
--- a/brookreach/cli/xds.py
+++ b/brookreach/cli/xds.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from pathlib import Path
 
 import click
@@ -20,13 +21,14 @@
     import anyio
 
     from brookreach.__main__ import BadStart
+    from brookreach.cli.structured import writer
     from brookreach.files import BadFile
     from brookreach.tls.pair import PairError
     from brookreach.xds.config import read
     from brookreach.xds.service import Service
 
     try:
-        service = Service(file, read(file), log)
+        service = Service(file, read(file), partial(writer, log))
         anyio.run(service.run)
     except (BadStart, BadFile, PairError, OSError) as error:
         raise click.ClickException(str(error)) from None
--- a/brookreach/net/report.py
+++ b/brookreach/net/report.py
@@ -1,7 +1,7 @@
-"""Log lines to standard error, so many a second of each kind: plain, or one JSON object a line where asked.
+"""Log lines to standard error, so many a second of each kind: plain, or as the one who starts it writes them.
 
-It owns what the log looks like. It must never block on anything but standard error, nor keep lines. structlog
-is imported only for JSON.
+It owns which lines are written. It must never block on anything but standard error, keep lines, or name a
+library that a marshal started by `run` does not have: this file is compiled with those of `run` alone.
 """
 
 from __future__ import annotations
@@ -11,10 +11,13 @@
 from collections.abc import Callable
 
 
+Writer = Callable[[str, str], object]  # a line's kind and its words
+
+
 class Report:
-    def __init__(self, name: str, lines: int, form: str = "plain"):
+    def __init__(self, name: str, lines: int, writer: Writer | None = None):
         self.name, self.most = name, lines
-        self.write: Callable[[str, str], object] = self.plain if form == "plain" else structured(name)
+        self.write: Writer = writer or self.plain
         self.counts: dict[str, list[int]] = {}  # by kind: the second, lines in it, lines left out
 
     def say(self, kind: str, text: str) -> None:
@@ -34,13 +37,3 @@
     def plain(self, kind: str, text: str) -> None:
         print(f"{self.name} {kind}: {text}", file=sys.stderr, flush=True)
 
-
-def structured(name: str) -> Callable[[str, str], object]:
-    """One JSON object a line: `at`, `level`, `marshal`, `kind`, `event`; figures stay in the words."""
-    import structlog
-
-    logger = structlog.wrap_logger(
-        structlog.PrintLogger(sys.stderr),
-        processors=[structlog.processors.add_log_level, structlog.processors.TimeStamper("iso", key="at"),
-                    structlog.processors.JSONRenderer(sort_keys=True)]).bind(marshal=name)
-    return lambda kind, text: (logger.error if kind == "fault" else logger.info)(text, kind=kind)
--- a/brookreach/xds/service.py
+++ b/brookreach/xds/service.py
@@ -4,6 +4,7 @@
 
 import signal
 import time
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -12,6 +13,7 @@
 from brookreach.__main__ import Parts, object_at
 from brookreach.files import BadFile
 from brookreach.net.nodes import Listed
+from brookreach.net.report import Writer
 from brookreach.tls.pair import Keeper
 from brookreach.xds import store
 from brookreach.xds.assign import Seat
@@ -24,10 +26,12 @@
 class Service:
     """All parts of one control service."""
 
-    def __init__(self, path: Path, told: ControlFile, form: str = "plain"):
+    def __init__(
+        self, path: Path, told: ControlFile, lines: Callable[[str], Writer | None] | None = None
+    ):
         self.path, self.told = path, told
         marshal = object_at(str(path.parent / told.serve.marshal), f"{path}: serve.marshal")
-        self.parts = Parts(marshal, form)
+        self.parts = Parts(marshal, lines)
         self.say = lambda text: self.parts.report.say("xds", text)
         zones = list(marshal["settings"]["zones"])
         life = f"{time.time_ns():x}"  # unlike that of any life before it
--- a/tests/test_verdict.py
+++ b/tests/test_verdict.py
@@ -398,11 +398,12 @@
         self.assertEqual(done.stdout.strip(), "[]")
 
     def test_json_lines(self):
+        from brookreach.cli.structured import structured
         from brookreach.net.report import Report
 
         old, sys.stderr = sys.stderr, io.StringIO()
         try:
-            Report("n1", 10, "json").say("module", "build 2\n stage 0")
+            Report("n1", 10, structured("n1")).say("module", "build 2\n stage 0")
             told = json.loads(sys.stderr.getvalue())
         finally:
             sys.stderr = old
