--- a/brookreach/cli/structured.py
+++ b/brookreach/cli/structured.py
@@ -1,6 +1,7 @@
 """Log lines as JSON, by structlog: what `--log json` hands to `net/report.py`.
 
-It owns the object a line is. It must never decide which lines are written. structlog is imported when asked for.
+It owns the object a line is. It must never decide which lines are written; structlog is imported when asked
+for.
 """
 
 from __future__ import annotations
--- a/brookreach/net/report.py
+++ b/brookreach/net/report.py
@@ -10,7 +10,6 @@
 import time
 from collections.abc import Callable
 
-
 Writer = Callable[[str, str], object]  # a line's kind and its words
 
 
