--- a/brookreach/cli/main.py
+++ b/brookreach/cli/main.py
@@ -13,6 +13,7 @@
 
 FAMILIES = {
     "run": "brookreach.cli.run:run",
+    "site": "brookreach.cli.site:site",
     "check": "brookreach.cli.check:check",
     "verdict": "brookreach.cli.verdict:verdict",
     "waves": "brookreach.cli.waves:waves",
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -16,6 +16,8 @@
 from brookreach import interface as ifc
 from brookreach.__main__ import Parts
 from brookreach.decide import Marshal
+from brookreach.drills import stand
+from brookreach.drills.stand import ROW, HttpStand, into
 from brookreach.net import pgwire
 from brookreach.net.stream import address
 
@@ -158,14 +160,11 @@
     "report": {"fields": [], "via": "off"}, "skus": ["std"], "tenants": [], "tickUs": 5000, "zones": ["a", "b"],
 }
 NEWS = {"version": 7, "step": 1, "status": "Healthy", "maxWeight": 1.0, "observedAgoMs": 0}
-ROW = [*pgwire.framed(b"T", b"\0\1data\0" + bytes(18)), *pgwire.framed(b"D", b"\0\1\0\0\0\2\x9f\3"),
-       *pgwire.framed(b"C", b"SELECT 1\0")]
-WORDS = [b"".join(pgwire.framed(b"C", words)) for words in (pgwire.SELECTED, pgwire.INSERTED)]
 REPLIES = {
-    "row": [*ROW, pgwire.READY],
+    "row": stand.SERVED["row"],
     "row with notices": [*pgwire.framed(b"N", b"\0"), *ROW[:4], *pgwire.framed(b"S", b"x\0y\0"), *ROW[4:],
                          pgwire.READY],
-    "error": [pgwire.error(b"XX000", "no")],
+    "error": stand.SERVED["error"],
     "full": [pgwire.error(b"53300", "full")],
     "no row": [*ROW[:2], *ROW[4:], pgwire.READY],
     "two rows": [*ROW[:4], *ROW[2:], pgwire.READY],
@@ -184,78 +183,6 @@
 }
 
 
-class NodeStand:
-    """A node: answers each query by the word that its statement holds; `heard` are the queries written to it."""
-
-    def __init__(self):
-        self.heard, self.links, self.welcomes = [], 0, True
-
-    async def serve(self, stream):
-        self.links += 1
-        inbound = pgwire.Inbound(1 << 20, pgwire.Pool(1 << 22))
-        with contextlib.suppress(anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError):
-            async with stream:
-                while inbound.startup() is None:
-                    self.into(inbound, await stream.receive())
-                if not self.welcomes:
-                    await stream.receive()
-                await stream.send(pgwire.WELCOME)
-                while True:
-                    message = inbound.message()
-                    if message is None:
-                        self.into(inbound, await stream.receive())
-                        continue
-                    text = bytes(message[1][:-1]).decode()
-                    self.heard.append(text)
-                    word = text.split("'")[1] if "'" in text else ""
-                    if word == "reset":
-                        return
-                    if word != "nothing":
-                        reply = b"".join(REPLIES.get(word, REPLIES["error"]))
-                        if text.startswith("INSERT"):
-                            reply = reply.replace(*WORDS)
-                        await stream.send(reply)
-
-    @staticmethod
-    def into(inbound, data):
-        while data:
-            space = inbound.space()
-            part = data[:len(space)]
-            space[:len(part)] = part
-            inbound.came(len(part))
-            data = data[len(part):]
-
-
-class HttpStand:
-    """Discovery or the platform: answers by `answer(method, target, body)`: (status, body, whether it ends)."""
-
-    def __init__(self, answer):
-        self.answer, self.calls = answer, []
-
-    async def serve(self, stream):
-        with contextlib.suppress(anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError):
-            async with stream:
-                data = b""
-                while True:
-                    while b"\r\n\r\n" not in data:
-                        data += await stream.receive()
-                    head, _, data = data.partition(b"\r\n\r\n")
-                    method, target, _ = head.split(b"\r\n")[0].decode().split()
-                    length = [line for line in head.lower().split(b"\r\n") if line.startswith(b"content-length")]
-                    size = int(length[0].split(b":")[1]) if length else 0
-                    while len(data) < size:
-                        data += await stream.receive()
-                    body, data = data[:size], data[size:]
-                    self.calls.append(f"{method} {target} {body.decode()}".strip())
-                    status, text, ends = await self.answer(method, target, body)
-                    if status == 0:
-                        return
-                    size = f"Content-Length: {len(text)}" if ends else "Content-Length: 1000000"
-                    await stream.send(f"HTTP/1.1 {status} OK\r\n{size}\r\n\r\n{text}".encode())
-                    if not ends:
-                        await anyio.sleep_forever()
-
-
 class Heard:
     """The log, kept."""
 
@@ -270,7 +197,7 @@
     """A marshal with one node, discovery and the platform; `trace` is what is compared."""
 
     def __init__(self):
-        self.trace, self.node, self.may_fail = [], NodeStand(), False
+        self.trace, self.node, self.may_fail = [], stand.NodeStand(REPLIES), False
         self.discovery, self.platform = HttpStand(self.listing), HttpStand(self.told)
         self.state, self.revision, self.pause = "active", 1, anyio.Event()
         self.ballot, self.feed = (200, json.dumps(NEWS), True), (200, "{}\n", False)
@@ -367,7 +294,7 @@
             while True:
                 message = inbound.message()
                 if message is None:
-                    NodeStand.into(inbound, await stream.receive())
+                    into(inbound, await stream.receive())
                     continue
                 tag, body = message[0], bytes(message[1])
                 if tag == b"E":
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -20,7 +20,7 @@
 from brookreach.net.limits import limits_from
 from brookreach.net.stream import address
 
-from .helpers import NEWS, REPLIES, SETTINGS, NodeStand, Town, TraceCase
+from .helpers import NEWS, REPLIES, SETTINGS, Town, TraceCase, into
 
 
 def played(story):
@@ -47,7 +47,7 @@
         for cut in range(len(data) + 1):
             inbound, seen = pgwire.Inbound(1 << 20, pgwire.Pool(1 << 22), first=16), []
             for part in (data[:cut], data[cut:]):
-                NodeStand.into(inbound, part)
+                into(inbound, part)
                 while (message := inbound.message()) is not None:
                     seen.append((message[0], bytes(message[1])))
             whole = whole or seen
@@ -56,12 +56,12 @@
 
     def test_memory_goes_by_what_has_come(self):
         inbound = pgwire.Inbound(1 << 20, pgwire.Pool(1 << 22))
-        NodeStand.into(inbound, b"Q" + (1 << 19).to_bytes(4, "big") + bytes(1000))
+        into(inbound, b"Q" + (1 << 19).to_bytes(4, "big") + bytes(1000))
         self.assertIsNone(inbound.message())
         self.assertLess(len(inbound.data), 4096)
         for length in (0, 3, (1 << 20) + 1, 0xFFFFFFFF):
             inbound = pgwire.Inbound(1 << 20, pgwire.Pool(1 << 22))
-            NodeStand.into(inbound, b"Q" + length.to_bytes(4, "big"))
+            into(inbound, b"Q" + length.to_bytes(4, "big"))
             with self.assertRaises(pgwire.BrokenStream):
                 inbound.message()
 
@@ -150,7 +150,7 @@
             for link in list(town.parts.poller.watched.values()):
                 if getattr(link, "spot", None):
                     nodes.cap_fell(7)  # decided under a higher cap
-                    NodeStand.into(link.inbound, pgwire.READY)
+                    into(link.inbound, pgwire.READY)
                     link.at = 1
                     link.came()
             await until(lambda: any("MOOT" in line for line in town.trace))
