--- a/brookreach/judge.py
+++ b/brookreach/judge.py
@@ -199,8 +199,9 @@
         end, self.heard_at, self.lag_ms = now - told.age_ms, now, told.age_ms
         count, failed, total_ms, at = self.tallied.get(told.method, [0.0, 0.0, 0.0, now])
         if told.build < news.build:
-            sums = 0.5 * count + told.count, 0.5 * failed + told.failed, 0.5 * total_ms + told.mean_ms * good
-            return self.tallied.update({told.method: [*sums, now]})
+            self.tallied[told.method] = [0.5 * count + told.count, 0.5 * failed + told.failed,
+                                         0.5 * total_ms + told.mean_ms * good, now]
+            return
         if news.phase != Phase.ON_TRIAL or count < ENOUGH or now - at > 2.5 * self.tally_ms:
             return  # decided, or nothing left to compare with
         most, before = 0.6 * self.shared, max(FLOOR, failed / count)
@@ -240,8 +241,8 @@
 
     def listed(self, ready: list[NodeEntry]) -> None:
         self.ready = ready
-        earlier = [entry for entry in ready if self.news is not None and entry.build < self.news.build]
-        self.abreast = 4 * len(earlier) >= len(ready)
+        earlier = sum([self.news is not None and entry.build < self.news.build for entry in ready])
+        self.abreast = 4 * earlier >= len(ready)
         if self.news is None or self.news.phase == Phase.RELEASED:
             self.places = len(ready)
 
--- a/brookreach/net/report.py
+++ b/brookreach/net/report.py
@@ -35,4 +35,3 @@
 
     def plain(self, kind: str, text: str) -> None:
         print(f"{self.name} {kind}: {text}", file=sys.stderr, flush=True)
-
