--- a/brookreach/__main__.py
+++ b/brookreach/__main__.py
@@ -9,6 +9,7 @@
 import gc
 import json
 import os
+import random
 import signal
 import sys
 from collections.abc import Callable, Mapping
@@ -71,11 +72,12 @@
             self.poller = Poller(self.limits.sockets, self.fault)
             self.driver = Driver(start, self.limits, self.report, Clock(), self.poller)
             self.told, self.stops, self.serving = told, False, anyio.Event()
-            self.discovery = Discovery(self.limits, self.report, settings["zones"], settings["skus"],
+            chance = random.Random(start.seed)
+            self.discovery = Discovery(self.limits, self.report, settings["zones"], settings["skus"], chance,
                                        self.driver.told)
             stages = len(start.rollout.stage_shares)
             self.platform = Platform(self.limits, self.report, [method.name for method in start.methods],
-                                     stages, address(told["deployer"]["address"]), self.driver.put)
+                                     stages, address(told["deployer"]["address"]), chance, self.driver.put)
             self.discovery.move(address(told["discovery"]))
             self.news: ifc.RolloutNews = news_from(told["deployer"]["news"], stages)
             self.driver.begin()
--- /dev/null
+++ b/brookreach/net/again.py
@@ -0,0 +1,26 @@
+"""How long one waits before a call that failed is made again.
+
+It owns the growth of the pause and its chance part: marshals that lost a service together must not call it
+together again. It must never sleep, nor know what was called.
+"""
+
+from __future__ import annotations
+
+import random
+
+
+class Again:
+    """Pauses in seconds: none at first, then `first_s` and twice as long after each failure, up to `most_s`;
+    each of them half as long to half as long again by chance. What served sets them back."""
+
+    def __init__(self, first_s: float, most_s: float, chance: random.Random) -> None:
+        self.first_s, self.most_s, self.chance, self.next_s = first_s, most_s, chance, 0.0
+
+    def pause(self) -> float:
+        """How long to wait before the next call; should it fail too, the one after it waits longer."""
+        pause_s = self.next_s * self.chance.uniform(0.5, 1.5)
+        self.next_s = min(max(2.0 * self.next_s, self.first_s), self.most_s)
+        return pause_s
+
+    def served(self) -> None:
+        self.next_s = 0.0
--- a/brookreach/net/discovery.py
+++ b/brookreach/net/discovery.py
@@ -8,6 +8,7 @@
 
 import json
 import math
+import random
 import traceback
 from collections.abc import Callable, Mapping
 from typing import Any
@@ -16,6 +17,7 @@
 
 from brookreach import interface as ifc
 
+from .again import Again
 from .http import LOST, Http, NotHttp
 from .limits import Limits
 from .nodes import Listed
@@ -30,8 +32,8 @@
 
 class Discovery:
     def __init__(self, limits: Limits, report: Report, zones: list[str], kinds: list[str],
-                 told: Callable[[ifc.NodeList, list[Listed]], None]):
-        self.limits, self.report, self.told = limits, report, told
+                 chance: random.Random, told: Callable[[ifc.NodeList, list[Listed]], None]):
+        self.limits, self.report, self.chance, self.told = limits, report, chance, told
         self.zones = {name: at for at, name in enumerate(zones)}
         self.kinds = {name: at for at, name in enumerate(kinds)}
         self.numbers: dict[str, int] = {}  # of the ids that are listed
@@ -81,25 +83,28 @@
                 self.asking.cancel()
 
     async def follow(self) -> None:
-        """Until cancelled. What is lost in between comes with the whole list that a new watch begins with."""
-        at, pause = self.at, 0.0
+        """Until cancelled. What is lost in between comes with the whole list that a new watch begins with or,
+        where one service has all marshals to serve, with what has changed since the list that is held."""
+        at = self.at
+        again = Again(self.limits.refused_s, self.limits.refused_most_s, self.chance)
         while True:
             if at != self.at:
-                at, pause = self.at, 0.0
+                at = self.at
+                again.served()
             with anyio.CancelScope() as self.asking:
-                await anyio.sleep(pause)
-                pause = min(max(2.0 * pause, self.limits.again_s), self.limits.again_most_s)
+                await anyio.sleep(again.pause())
                 try:
                     assert at is not None
                     with anyio.fail_after(self.limits.answer_s):
                         http = await Http.connect(at)
                     try:
-                        await self._call(http, PATH, self.limits.answer_s)
+                        if not (self.numbers and self.limits.one_service):  # what changed since costs it less
+                            await self._call(http, PATH, self.limits.answer_s)
                         while True:
                             wait = self.limits.watch_s
                             target = f"{PATH}?after={self.version}&wait_ms={round(wait * 1000.0)}"
                             await self._call(http, target, wait + self.limits.answer_s)
-                            pause = 0.0  # it serves: what breaks now is mended at once
+                            again.served()  # it serves: what breaks now is mended at once
                     finally:
                         await http.close()
                 except (*LOST, TimeoutError, *BAD_JSON) as error:
--- a/brookreach/net/limits.py
+++ b/brookreach/net/limits.py
@@ -25,6 +25,11 @@
     idle_s: float  # an idle one is closed by us before the other side may
     reply_s: float  # a vote's answer
     drain_s: float  # after a stop is asked for, the longest that RPCs under way are waited for
+    one_service: bool  # the list is asked of one service for all marshals, not of an agent beside this one
+    watch_s: float  # a watch of the list waits so long for something newer
+    answer_s: float  # past its wait, a silent call for the list is given up
+    refused_s: float  # the first pause after a call for the list that failed; it doubles
+    refused_most_s: float
     # Of the protocols: values hold 64 KiB, twice that as text, and a head around them.
     message: int = 192 * KIB
     head: int = 4 * KIB  # startup messages
@@ -40,9 +45,7 @@
     # Stopping: connections go on coming for a moment after the signal.
     linger_s: float = 0.5
     # Discovery and the platform.
-    watch_s: float = 2.0  # a watch waits so long for something newer
-    answer_s: float = 1.5  # past its wait, a silent call is given up
-    again_s: float = 0.1  # between tries after a failure
+    again_s: float = 0.1  # between tries of the feed after a failure
     again_most_s: float = 1.0
     sign_s: float = 3.5  # a feed without a sign of life for so long is opened anew
     # Logging.
@@ -68,7 +71,14 @@
         room = min(sockets - 24, memory // 4 // (8 * KIB))
         if room < 16:
             raise ValueError("sockets or memory_mb leave no room for connections")
+        # One service answers all marshals in turn and may take 2 s for it: who leaves the queue before that
+        # has used it for nothing. What one marshal may ask in a second, all together may not.
+        service = told["registryMode"] == "ask"
+        within = to_ms(told["guarantees"]["askWithinUs"]) / 1000.0
         return Limits(
+            one_service=service, watch_s=within if service else 2.0, answer_s=3.0 if service else 1.5,
+            refused_s=min(0.1 * told["balancers"], 0.5 * within) if service else 0.1,
+            refused_most_s=2.0 * within if service else 1.0,
             clients=room * 11 // 20, links=room * 9 // 20, large=memory // 16,
             dial_s=to_ms(allowed["dialTimeoutUs"]) / 1000.0,
             idle_s=0.8 * to_ms(allowed["keepaliveUs"]) / 1000.0,
--- a/brookreach/net/platform.py
+++ b/brookreach/net/platform.py
@@ -8,6 +8,7 @@
 
 import json
 import math
+import random
 import traceback
 from collections.abc import Callable, Mapping
 from typing import Any
@@ -16,6 +17,7 @@
 
 from brookreach import interface as ifc
 
+from .again import Again
 from .discovery import BAD_JSON
 from .http import LOST, Http, NotHttp
 from .limits import Limits
@@ -38,11 +40,11 @@
 
 class Platform:
     def __init__(self, limits: Limits, report: Report, methods: list[str], stages: int, at: tuple[str, int],
-                 put: Callable[[ifc.Event], None]):
+                 chance: random.Random, put: Callable[[ifc.Event], None]):
         self.limits, self.report, self.stages, self.at, self.put = limits, report, stages, at, put
         self.methods = {name: number for number, name in enumerate(methods)}
         self.feeding: anyio.CancelScope | None = None  # the feed at the present address
-        self.pause = 0.0  # before it is opened again
+        self.again = Again(limits.again_s, limits.again_most_s, chance)  # pauses before it is opened again
 
     def move(self, at: tuple[str, int]) -> None:
         """Votes and the feed go there from now on. Votes under way end where they were said: an answer may
@@ -82,13 +84,13 @@
 
     async def follow(self) -> None:
         """The feed, opened anew whenever it ends or no sign of life comes."""
-        at, self.pause = self.at, 0.0
+        at = self.at
         while True:
             if at != self.at:
-                at, self.pause = self.at, 0.0
+                at = self.at
+                self.again.served()
             with anyio.CancelScope() as self.feeding:
-                await anyio.sleep(self.pause)
-                self.pause = min(max(2.0 * self.pause, self.limits.again_s), self.limits.again_most_s)
+                await anyio.sleep(self.again.pause())
                 http = None
                 try:
                     with anyio.fail_after(self.limits.sign_s):
@@ -122,7 +124,7 @@
                 raise NotHttp("an endless line")
             for line in lines:
                 self._line(line)
-                self.pause = 0.0  # it serves: what breaks now is mended at once
+                self.again.served()  # what breaks now is mended at once
 
     def _line(self, line: bytes) -> None:
         told = json.loads(line) if line.strip() else {}
--- /dev/null
+++ b/tests/test_grown.py
@@ -0,0 +1,88 @@
+"""Many marshals at once: what is right for one must not be wrong for all. One virtual clock, one stand-in."""
+
+import heapq
+import random
+import unittest
+
+import anyio
+
+from brookreach.net.again import Again
+from brookreach.net.limits import limits_from
+
+from .helpers import SETTINGS, Town
+
+MARSHALS = 40
+ASKED = SETTINGS | {"registryMode": "ask", "balancers": MARSHALS}
+
+
+class Service:
+    """One service for all marshals: calls wait in turn for `work_s` each; it takes up more than it can answer
+    before a call has waited 2 s and fails, and what failed has cost as much as what did not."""
+
+    def __init__(self, work_s, overbook=3.0):
+        self.work_s, self.most_s, self.free_at, self.calls = work_s, 2.0 * overbook, 0.0, []
+
+    def call(self, now):
+        """When the answer comes, and whether it is one."""
+        self.calls.append(now)
+        behind = max(0.0, self.free_at - now) + self.work_s
+        if behind > self.most_s:
+            return now + 0.003, False
+        self.free_at = now + behind
+        return now + min(behind, 2.0), behind <= 2.0
+
+
+def asked(first_s, most_s, work_s, answer_s=3.0, until_s=90.0):
+    """All marshals ask from the same moment on; the service, and when each had its answer."""
+    service, had = Service(work_s), {}
+    again = [Again(first_s, most_s, random.Random(n)) for n in range(MARSHALS)]
+    due = [(one.pause(), n) for n, one in enumerate(again)]
+    while due and due[0][0] < until_s:
+        now, n = heapq.heappop(due)
+        at, served = service.call(now)
+        if served and at < now + answer_s:
+            had[n] = at
+        else:
+            heapq.heappush(due, (min(at, now + answer_s) + again[n].pause(), n))
+    return service, had
+
+
+class ListsTest(unittest.TestCase):
+    def test_one_service_serves_all_that_were_refused_together(self):
+        limits = limits_from({"memory_mb": 80, "sockets": 384}, ASKED)
+        for work_s, within_s in ((0.05, 10.0), (0.2, 40.0), (0.5, 90.0)):
+            service, had = asked(limits.refused_s, limits.refused_most_s, work_s, limits.answer_s)
+            self.assertEqual(len(had), MARSHALS, f"{work_s} s a call")
+            self.assertLess(max(had.values()), within_s)
+            self.assertLess(len(service.calls), 6 * MARSHALS)
+
+    def test_the_checker_sees_pauses_that_stay_short(self):
+        service, had = asked(0.1, 1.0, 0.5, 1.5)
+        self.assertLess(len(had), MARSHALS // 4)
+        self.assertGreater(len(service.calls), 20 * MARSHALS)
+
+    def test_pauses_part_what_failed_together(self):
+        again = [Again(1.0, 20.0, random.Random(n)) for n in range(MARSHALS)]
+        self.assertEqual({one.pause() for one in again}, {0.0})
+        for _ in range(6):
+            pauses = [one.pause() for one in again]
+        self.assertLess(min(pauses), 12.0)
+        self.assertGreater(max(pauses), 28.0)
+        self.assertLessEqual(max(pauses), 30.0)
+        again[0].served()
+        self.assertEqual(again[0].pause(), 0.0)
+
+    def test_what_has_changed_is_asked_for_and_not_the_whole_list(self):
+        for settings, first in ((SETTINGS, "GET /registry/instances"),
+                                (ASKED, "GET /registry/instances?after=1&wait_ms=10000")):
+            async def story(settings=settings, first=first):
+                town = Town(settings)
+                with anyio.fail_after(30):
+                    async with town.open():
+                        while len(town.discovery.calls) < 2:
+                            await anyio.sleep(0.001)
+                            town.pause.set()
+                self.assertEqual(town.discovery.calls[0], first)
+                self.assertIn("after=1", town.discovery.calls[1])
+
+            anyio.run(story)
