Where a marshal does not see few, push back by late answers as before

So it is the limit on what waits: answers stay at 0.5 s, late ones, by which own charts find this build, no longer come; and the limit follows the rate that it lets through down to six RPCs at a time. Ruled out: hangs, sides by time. At fault: decide.py taken_in, crowded and Node.call of, for marshals that see many. Tried on the way and taken back: a picked sample of all offers when none of the few can take an RPC.

--- a/brookreach/decide.py
+++ b/brookreach/decide.py
@@ -76,8 +76,7 @@
 
     def renew(self, entry: NodeEntry) -> None:
         self.entry = entry
-        # A node that comes cold may run a build that needs more work: twice until its answers tell.
-        self.slow = 2.0 if entry.started_ms else 1.0
+        self.slow = 2.0 if entry.started_ms else 1.0  # a cold node's build may need more work
         self.shy_until, self.shy_ms, self.doubt, self.ails = 0.0, 0.0, 0.0, WELL
         self.room, self.room_at, self.tried, self.failed = 0.0, 0.0, 0.0, 0.0  # of the last 20 picks or so
 
@@ -98,9 +97,9 @@
             fit = self.room > 0.0
         if not fit:
             return self.desk.tell("bid", now, rpc)
-        out = len(self.sent)
+        out, long = len(self.sent), self.desk.long(now, typical, rpc.facts.soft_ms, entry.build)
         shy = now < self.shy_until or (self.shy_ms > 0.0 and out > 0)
-        hangs = out > 0 and now - self.sent[0] > self.desk.long(typical, rpc.facts.soft_ms, entry.build)
+        hangs = self.few and out > 0 and now - self.sent[0] > long
         # Where I see few, a cold node is held back by weight and room; with a wait it would never win.
         wait = typical * (out if self.few and warm < 1.0 else self.slow * (1 + out) / warm)
         self.desk.tell("bid", now, rpc, (entry, self.ails if shy else SILENT if hangs else WELL, wait))
@@ -150,10 +149,9 @@
         self.survey_at, self.warm_size, self.few = now, 0.0, sees_few(start)
         self.rate, self.carried = 0.0, Ring(CARRIED_MS, 16)  # cost a ms and unit of size, of warm nodes
         self.spare, self.usual, self.suspect = 1.0, FLOOR, True  # spare: second copies
-        # By side, the build on trial or 0, the log of how long picks take now; RPCs taken just now.
         self.drags, self.flow, self.one_way = dict[int, float](), Ring(1000.0, 10), dict[int, int]()
-        # RPCs answered in time just now; soft deadlines of those that wait and are not past theirs.
-        self.good, self.waiting, self.first = Ring(PACE_MS, 8), dict[int, float](), math.inf
+        self.good, self.waiting = Ring(PACE_MS, 8), dict[int, float]()  # answered in time; soft deadlines
+        self.ends, self.lates = Ring(4000.0, 8), Ring(4000.0, 8)  # picks that ended; those late, or nearly
 
     def listing(self, now: float, event: NodeList) -> None:
         changed = {entry.node: entry for entry in event.entries}
@@ -181,23 +179,27 @@
         rpc = self.rpcs[event.rpc] = Rpc(now, event, self.methods[event.method])
         self.ring(rpc.method, 0).add(now)
         self.flow.add(now)
-        self.first = min(self.first, now)
         self.spare = min(3.0, self.spare + 0.1)
         if rpc.cost:
             usual = self.usual_cost.get(rpc.method, rpc.cost)
             self.usual_cost[rpc.method] = usual + 0.02 * (rpc.cost - usual)
         self.acts.append(SetTimer(max(0.0, rpc.end - now - 6.0), 4 * rpc.id + RPC_END))
-        if len(self.rpcs) > self.permits.max_open or self.crowded(now, rpc):
+        late = 3.0 * (self.late(now) - 0.35)
+        jam = self.crowded(now, rpc) if self.few else self.chance.random() < min(0.9, late)
+        if jam or len(self.rpcs) > self.permits.max_open:
             return self.give_up(now, rpc)  # at once: what can't be answered in time only makes others late
         self.waiting[rpc.id] = rpc.soft
         self.tell("ask", now, rpc)
 
+    def late(self, now: float) -> float:
+        return self.lates.total(now) / (self.ends.total(now) + 1.0)
+
     def crowded(self, now: float, rpc: Rpc) -> bool:
         """Whether more wait, those past it left out, than are answered in PRESSED of the soft deadline."""
         while self.waiting and now >= self.waiting[old := next(iter(self.waiting))]:
             del self.waiting[old]
         can = PRESSED * rpc.facts.soft_ms * self.good.total(now) / PACE_MS
-        return now > self.first + PACE_MS and len(self.waiting) >= max(LEAST, can)
+        return now > self.began + 2.0 * PACE_MS and len(self.waiting) >= max(LEAST, can)
 
     def side(self, build: int) -> int:
         return build if on_trial(self.news, build) else 0
@@ -206,8 +208,10 @@
         usual = self.usual_cost.get(rpc.method)
         return self.usual_ms[rpc.method] * (rpc.cost / usual if rpc.cost and usual else 1.0)
 
-    def long(self, typical: float, soft_ms: float, build: int) -> float:
+    def long(self, now: float, typical: float, soft_ms: float, build: int) -> float:
         """A wait that tells of one node: far over what picks take beside it now. In a jam all wait."""
+        if not self.few:
+            return max(0.5 * soft_ms, 4.0 * typical) if self.late(now) < 0.35 else math.inf
         return max(0.5 * soft_ms, LONG * typical * math.exp(self.drags.get(self.side(build), 0.0)))
 
     def survey(self, now: float) -> None:
@@ -216,7 +220,6 @@
             return
         able: dict[int, list[tuple[NodeEntry, float]]] = {}
         ready = [entry for entry in self.entries.values() if entry.state == NodeState.READY]
-        # Where I see few, a draw must not be spent on those that I shun.
         well = [one for one in ready if not self.few or now >= self.nodes[one.node].shy_until] or ready
         warm = [one for one in well if warmth(one, now - CARRIED_MS, self.guards) >= 1.0]
         self.survey_at = math.inf if len(warm) == len(ready) else now + BEAT_MS
@@ -270,7 +273,7 @@
             self.tell("ask", now, rpc, MORE)
         elif rpc.bids:
             far = 1.0 + 8.0 * self.prices.cross_zone
-            some = self.chance.sample(well or rpc.bids, min(2 * FEW, len(well or rpc.bids)))
+            some = (well or rpc.bids)[:2 * FEW]
             self.send(now, rpc, min(some, key=lambda b: (
                 b[2] * (1.0 if b[0].zone == self.place.zone else far)))[0])
         elif not rpc.pending():
@@ -286,8 +289,7 @@
         stage, cap = (news.stage, news.cap) if build == news.build else (0, self.exposure.caps[0])
         if stage < self.exposure.closed_stages and rpc.facts.repeat != Repeat.IDEMPOTENT:
             return False
-        # A life that has just begun can't know what the one before it sent: its free picks count as spent.
-        free = self.exposure.free if now - self.began > self.exposure.window_ms else 0.0
+        free = self.exposure.free if now - self.began > self.exposure.window_ms else 0.0  # spent before
         taken = self.ring(rpc.method, 0).total(now, inner=True)
         return cap > 0.0 and self.ring(rpc.method, build).total(now) + 1.0 <= free + cap * taken
 
@@ -308,8 +310,8 @@
 
     def give_up(self, now: float, rpc: Rpc) -> None:
         come_back = min(self.permits.come_back_ms, 500.0) * self.permits.come_back
-        again = not rpc.may_have_run() or (rpc.facts.repeat, rpc.facts.group) == (
-            Repeat.TOKENED, Group.ALL) or rpc.facts.repeat == Repeat.IDEMPOTENT
+        kind = rpc.facts.repeat, rpc.facts.group == Group.ALL
+        again = not rpc.may_have_run() or kind[0] == Repeat.IDEMPOTENT or kind == (Repeat.TOKENED, True)
         self.acts.append(PushBack(rpc.id, come_back) if again else Abort(rpc.id))
         self.finish(rpc)
 
@@ -342,7 +344,7 @@
         pick = rpc.picks[event.nth]
         entry, pick[2] = pick[0], event.ending
         typical = self.typical(rpc)
-        long = self.long(typical, rpc.facts.soft_ms, entry.build)
+        long = self.long(now, typical, rpc.facts.soft_ms, entry.build)
         self.nodes[entry.node].tell("ended", now, event, entry, pick[1], typical, long, self.usual)
         if event.ending == Ending.OK:
             if event.final and now < rpc.soft:
@@ -353,7 +355,10 @@
                 self.carried.add(now, rpc.cost or self.usual_ms[rpc.method])
             if self.exposure.one_way and rpc.key and on_trial(self.news, entry.build):
                 self.one_way[rpc.key] = max(entry.build, self.one_way.get(rpc.key, 0))
-        if event.ending in (Ending.OK, Ending.TIMEOUT):
+        if event.ending in (Ending.OK, Ending.FULL, Ending.TIMEOUT):
+            self.ends.add(now)
+            self.lates.add(now, event.ending != Ending.OK or event.took_ms > 0.6 * rpc.facts.soft_ms)
+        if event.ending in (Ending.OK, Ending.TIMEOUT) and self.few:
             drag = self.drags.setdefault(self.side(entry.build), 0.0)
             self.drags[self.side(entry.build)] += 0.07 * (math.log(max(1.0, event.took_ms / typical)) - drag)
         self.judge.tell("outcome", now, entry, rpc.method, pick[1], event.ending, event.took_ms,
--- a/brookreach/judge.py
+++ b/brookreach/judge.py
@@ -134,8 +134,7 @@
         """Thresholds of a wave: its own outcomes over the stated false alarms stand for the design's target.
         Waits are as long as harm on the next stage is worth, against the price of delay; half where few."""
         outcomes = max(100.0, flow * sum([min(1.0, cap) for cap in self.caps]) * 2.0 * WARM_UP_MS / 1000.0)
-        # A method's charts and those over all: failures and speed, own and, where few, tallied, all alike.
-        weight = (0.25 if self.few else 0.5) / (len(self.methods) + 1)
+        weight = (0.25 if self.few else 0.5) / (len(self.methods) + 1)  # own and, where few, tallied
         self.shared = math.log(outcomes / self.stated.false_alarm) - math.log(weight)
         self.threshold, self.most = self.shared + math.log(self.marshals), 0.6 * self.shared  # of one tally
         # Over all methods the least rise that a wave has outcomes for.
@@ -212,8 +211,7 @@
             self.slower(now, told, "tallied speed", count - failed, total_ms, 0.6)
 
     def burden(self, now: float, told: Tally, good: int) -> None:
-        """A build may slow old nodes too: their times against those before the offer and on the first stage,
-        while the fleet takes no more picks, for what its nodes can do, than then."""
+        """A build may slow old nodes too: their times against those before it, under no more load."""
         news, (count, total_ms) = self.news, self.quiet.get(told.method, (0.0, 0.0))
         calm = news is None or news.phase != Phase.ON_TRIAL or news.stage == 0
         if now > self.heard_at + 0.5 * self.tally_ms:  # the first of a period, whose order tells nothing
@@ -292,8 +290,7 @@
         rare = 0 if self.few else self.seen // (3 * count)  # would take too long
         own = {kind: [chart.trust for (method, one), chart in self.charts.items()
                       if one == kind and method != ALL and chart.seen >= rare] for kind in (failed, slow)}
-        # Where few, all times are tallied: one stands for the fleet's.
-        fast = (need if self.few else need / count) if own[slow] else 0.0
+        fast = (need if self.few else need / count) if own[slow] else 0.0  # few: all times are tallied
         return bool(own[failed]) and sum(own[failed]) <= -need and max(own[failed]) <= -need / count and (
             sum(own[slow]) <= -fast)
 
@@ -326,8 +323,7 @@
     def decide(self, now: float) -> None:
         news = self.news
         shares = [one.errors() for one in self.before if len(one.kept) >= ENOUGH]
-        # A failures chart climbs from a failure only; each climb crosses with a chance of exp(-threshold).
-        self.rare = math.log(max(FLOOR, *shares)) if shares else 0.0
+        self.rare = math.log(max(FLOOR, *shares)) if shares else 0.0  # charts climb from a failure only
         if news is None or now < self.retry_at:
             return
         want = self.wanted(now, news)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,7 +1,6 @@
 """Each of the five rules at its edge, as traces of the module alone."""
 
 import itertools
-import math
 
 from brookreach import interface as ifc
 
@@ -62,7 +61,6 @@
         world.quietly(300)
         world.say("only a node that has just started is left: its budget, then waiting, then pushing back")
         world.nodes(node(9, started=world.now - 1.0))
-        world.marshal.desk.first = math.inf  # nothing here is about how many wait
         for _ in range(30):
             world.rpc()
         world.wait(1000.0)
@@ -76,7 +74,6 @@
             world.say("all nodes run build 2, unannounced: free picks and a tenth of the RPCs taken; "
                       "closed to effects" + (", by method" if by_method else ""))
             world.nodes(node(1, build=2), node(2, build=2))
-            world.marshal.desk.first = math.inf  # nothing here is about how many wait
             for number in range(200):
                 world.rpc(number % 2, wait=10_000.0)
             picks = [t for t in world.trace if " pick " in t]
@@ -193,10 +190,24 @@
         world.wait(1000.0)
         self.compare("held", world.trace)
 
-    def test_more_than_can_be_answered_is_pushed_back_at_once(self):
-        """As answers come, 50 a second, 30 of those that wait would be answered within 0.6 of the soft deadline."""
+    def test_late_answers_bring_early_pushbacks(self):
         world = plain()
-        world.quietly(150)
+        for took, count in ((900.0, 20), (100.0, 60)):
+            world.trace = []
+            for _ in range(count):
+                rpc = world.rpc()
+                if rpc in world.open:
+                    world.end(rpc, took=took)
+            back = [int(t.split()[-1]) for t in world.trace if "push" in t]
+            world.trace = [f"answers in {took:.0f} of 1000 ms: {len(back)} of {count} pushed back at once"]
+            self.compare(f"late_{took:.0f}", world.trace)
+
+    def test_more_than_can_be_answered_is_pushed_back_at_once(self):
+        """Where a marshal sees few. As answers come, 50 a second, 30 of those that wait would be answered within 0.6 of the soft deadline."""
+        world = World(start(marshals=60, tally=2000.0))
+        world.news(1, 2, 1.0, ifc.Phase.RELEASED)
+        world.nodes(*(node(one) for one in range(1, 11)))
+        world.quietly(250)
         world.trace = []
         for _ in range(60):
             world.rpc()
