How long is long is worked out for a bid only where a marshal sees few

Need: Node.call worked it out, with two sums over 4 s, for each bid of marshals that see many, which never use it.

--- a/brookreach/decide.py
+++ b/brookreach/decide.py
@@ -97,9 +97,9 @@
             fit = self.room > 0.0
         if not fit:
             return self.desk.tell("bid", now, rpc)
-        out, long = len(self.sent), self.desk.long(now, typical, rpc.facts.soft_ms, entry.build)
+        out, since = len(self.sent), now - self.sent[0] if self.few and self.sent else 0.0
         shy = now < self.shy_until or (self.shy_ms > 0.0 and out > 0)
-        hangs = self.few and out > 0 and now - self.sent[0] > long
+        hangs = since > 0.0 and since > self.desk.long(now, typical, rpc.facts.soft_ms, entry.build)
         # Where I see few, a cold node is held back by weight and room; with a wait it would never win.
         wait = typical * (out if self.few and warm < 1.0 else self.slow * (1 + out) / warm)
         self.desk.tell("bid", now, rpc, (entry, self.ails if shy else SILENT if hangs else WELL, wait))
