--- a/brookreach/drills/stand.py
+++ b/brookreach/drills/stand.py
@@ -16,11 +16,12 @@
 from anyio.abc import TaskStatus
 
 from brookreach.net import pgwire
+from brookreach.net.result import INSERTED, SELECTED
 from brookreach.net.stream import address
 
 ROW = [*pgwire.framed(b"T", b"\0\1data\0" + bytes(18)), *pgwire.framed(b"D", b"\0\1\0\0\0\2\x9f\3"),
        *pgwire.framed(b"C", b"SELECT 1\0")]
-WORDS = [b"".join(pgwire.framed(b"C", words)) for words in (pgwire.SELECTED, pgwire.INSERTED)]
+WORDS = [b"".join(pgwire.framed(b"C", words)) for words in (SELECTED, INSERTED)]
 Replies = Mapping[str, list[bytes | memoryview]]
 SERVED: Replies = {"row": [*ROW, pgwire.READY], "error": [pgwire.error(b"XX000", "no")]}
 GONE = (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError)
--- a/brookreach/fleet/link.py
+++ b/brookreach/fleet/link.py
@@ -19,7 +19,7 @@
 
 from brookreach.fleet import seal, words
 from brookreach.fleet.stream import BOUNDS, LOST, Bounds, Inbox, Line, TooLong, frames
-from brookreach.net.again import Again
+from brookreach.net.backoff import Backoff
 
 Say = Callable[[str, str], object]  # a line's kind and its words
 
@@ -64,12 +64,12 @@
 
     async def _speak(self, name: str) -> None:
         """Dials when there is something to say: who is silent would be a stranger there."""
-        again = Again(self.bounds.again_s, self.bounds.again_most_s, self.chance)
+        backoff = Backoff(self.bounds.again_s, self.bounds.again_most_s, self.chance)
         said = False
         while True:
             line = self.lines[name] = Line(self.bounds.to_keeper, True, self.bounds.stuck_s)
             await line.filled()
-            await anyio.sleep(again.pause())
+            await anyio.sleep(backoff.pause())
             began = anyio.current_time()
             self.tries += 1
             try:
@@ -86,7 +86,7 @@
                     self.say("link", f"{name} is not reached: {first(group)}")
                 said = True
             if anyio.current_time() - began > self.bounds.again_most_s:
-                again.served()  # it stood for a while: what broke now may be mended at once
+                backoff.served()  # it stood for a while: what broke now may be mended at once
 
     # --- connections that come ---
 
--- a/brookreach/net/again.py
+++ b/brookreach/net/backoff.py
@@ -9,7 +9,7 @@
 import random
 
 
-class Again:
+class Backoff:
     """Pauses in seconds: none at first, then `first_s` and twice as long after each failure, up to `most_s`;
     each of them half as long to half as long again by chance. What served sets them back."""
 
--- /dev/null
+++ b/brookreach/net/client.py
@@ -0,0 +1,201 @@
+"""One client's connection: queries read as RPCs, each answered once and in order.
+
+It owns what has been read of a connection and the order of the answers on it. It must never word an answer
+that the driver did not hand it, save for what can't be taken as an RPC; that is never worded as a pushback.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import time
+from collections import deque
+from typing import TYPE_CHECKING, Protocol
+
+from . import pgwire
+from .statement import BadStatement, Statement, harmless, statement
+from .stream import Stream
+
+if TYPE_CHECKING:
+    from .clients import Clients
+
+EXTENDED = (b"P", b"B", b"D", b"E", b"C", b"H")  # of the extended protocol, all but Sync
+
+
+class Taker(Protocol):
+    """What takes RPCs: the driver."""
+
+    def take(self, statement: Statement, slot: Slot) -> int: ...
+
+    def gone(self, rpc: int) -> None: ...
+
+
+class Slot:
+    """The place of one answer in the order of its connection."""
+
+    def __init__(self, client: Client) -> None:
+        self.client, self.rpc = client, 0
+        self.buffers: list[bytes | memoryview] | None = None
+
+    def answer(self, buffers: list[bytes | memoryview]) -> None:
+        assert self.buffers is None  # one answer
+        self.buffers = buffers
+        self.client.flush()
+
+
+class Client(Stream):
+    """One client connection."""
+
+    def __init__(self, sock: socket.socket, home: Clients) -> None:
+        super().__init__(home.poller, sock, pgwire.Inbound(home.limits.message, home.pool))
+        self.home = home
+        self.slots: deque[Slot] = deque()
+        self.started = False  # the startup message has come
+        self.skipping = False  # after an error in the extended protocol, until Sync
+        self.leaving = False  # we have ended our side
+        self.faults = 0
+        home.silent[self] = time.monotonic()
+
+    # --- reading ---
+
+    def came(self) -> None:
+        limits, count = self.home.limits, 0
+        while not self.closed and not self.rest and len(self.slots) < limits.pipelined:
+            if count == limits.pipelined:
+                self.home.again.append(self)  # others have their turn
+                break
+            count += 1
+            if not self.started:
+                body = self.inbound.startup()
+                if body is None:
+                    if len(self.inbound) > limits.head:
+                        raise pgwire.BrokenStream("an endless startup message")
+                    return
+                self._startup(body)
+            else:
+                message = self.inbound.message()
+                if message is None:
+                    self._half(count > 1)
+                    return
+                if not self.leaving:  # else it crossed our closing: the client sends it again elsewhere
+                    self._message(message[0], message[1])
+        if not self.closed:
+            self.reading = False  # enough under way; `flush` or `emptied` goes on reading
+            self.interest()
+
+    def _half(self, new: bool) -> None:
+        """All whole messages are handled; half of one may be left, `new` or the one that was there before."""
+        if new or not len(self.inbound):
+            self.home.half.pop(self, None)
+        if len(self.inbound):
+            self.home.half.setdefault(self, time.monotonic())
+
+    def _startup(self, body: memoryview) -> None:
+        code = pgwire.INT.unpack_from(body)[0] if len(body) >= 4 else 0
+        if code in (pgwire.SSL, pgwire.GSSENC):
+            self.send([b"N"])
+        elif code == pgwire.CANCEL:
+            self.broke("a cancel request, which this protocol has no use for")
+        elif code >> 16 == 3:
+            self.started = True
+            self.send([pgwire.WELCOME])
+        else:
+            raise pgwire.BrokenStream(f"unknown startup code {code}")
+
+    def _message(self, tag: bytes, body: memoryview) -> None:
+        if tag == b"Q":
+            self._query(body)
+        elif tag == b"X":
+            self.broke("terminated")
+        elif tag == b"S":
+            self.skipping = False
+            self._in_order(pgwire.READY)
+        elif tag == b"F":
+            self._in_order(pgwire.error(b"0A000", "no function calls"))
+        elif tag not in EXTENDED:
+            raise pgwire.BrokenStream(f"unknown message {tag!r}")
+        elif not self.skipping:
+            self.skipping = True
+            self._in_order(pgwire.error(b"0A000", "simple queries only", ready=False))
+
+    def _query(self, body: memoryview) -> None:
+        text = body[:-1] if len(body) and body[-1] == 0 else body
+        done = harmless(text)
+        if done is not None:
+            self._in_order(done)
+            return
+        slot = Slot(self)
+        try:
+            slot.rpc = self.home.taker.take(statement(text, self.home.limits.comment), slot)
+        except BadStatement as error:
+            self.home.report.say("client", f"statement not taken: {error}")
+            self.faults += 1
+            if self.slots or self.faults >= self.home.limits.faults:  # its error would wait, or it goes on
+                raise pgwire.BrokenStream("statements that can't be taken") from None
+            self._in_order(pgwire.error(error.state, str(error)))
+            return
+        self.home.busy(self)
+        self.slots.append(slot)
+
+    def broke(self, why: str) -> None:
+        if why.startswith("not the protocol"):
+            self.home.report.say("client", why)
+            with contextlib.suppress(OSError):
+                self.send([pgwire.error(b"08P01", why, ready=False)])
+        self.end()
+
+    def end(self) -> None:
+        if self.closed:
+            return
+        self.close()
+        for slot in self.slots:
+            if slot.rpc and slot.buffers is None:
+                self.home.taker.gone(slot.rpc)
+        self.slots.clear()
+        self.home.left(self)
+
+    # --- writing ---
+
+    def _in_order(self, answer: bytes) -> None:
+        slot = Slot(self)
+        self.home.busy(self)
+        self.slots.append(slot)
+        slot.answer([answer])
+
+    def flush(self) -> None:
+        """Write what is answered, up to the first RPC that is not."""
+        ready: list[bytes | memoryview] = []
+        while self.slots and self.slots[0].buffers is not None:
+            ready.extend(self.slots.popleft().buffers or [])
+        if not ready or self.closed:
+            return
+        try:
+            self.send(ready)
+        except OSError:
+            self.end()
+            return
+        if self.rest:
+            self.home.stuck.setdefault(self, time.monotonic())
+        else:
+            self._read_on()
+        if not self.slots:
+            self.home.idle[self] = self.poller.polled
+            if self.home.stopping:
+                self.leave()
+
+    def _read_on(self) -> None:
+        if not self.reading:
+            self.home.again.append(self)
+
+    def emptied(self) -> None:
+        self.home.stuck.pop(self, None)
+        self._read_on()
+        if self.leaving:
+            self.end_sending()
+
+    def leave(self) -> None:
+        """End our side between RPCs and read on: a reset could overtake the last answer."""
+        if not self.leaving:
+            self.leaving = True
+            if not self.rest:
+                self.end_sending()
--- a/brookreach/net/discovery.py
+++ b/brookreach/net/discovery.py
@@ -17,10 +17,10 @@
 
 from brookreach import interface as ifc
 
-from .again import Again
+from .backoff import Backoff
 from .http import LOST, Http, NotHttp
 from .limits import Limits
-from .nodes import Listed
+from .link import Listed
 from .report import Report
 from .stream import address
 
@@ -43,7 +43,7 @@
         self.asking: anyio.CancelScope | None = None  # all that is under way at the present address
         self.heard = anyio.Event()  # a list that was asked for has come
         self.lost = False  # since a call last served
-        self.again = Again(limits.refused_s, limits.refused_most_s, chance)  # pauses before it is asked again
+        self.backoff = Backoff(limits.refused_s, limits.refused_most_s, chance)  # before it is asked again
 
     def read(self, listing: Mapping[str, Any], cached: bool = False) -> None:
         """One list or change of it, as discovery words it; all of it is taken or nothing."""
@@ -82,7 +82,7 @@
         """Ask there from now on; what is under way elsewhere is given up."""
         if at != self.at:
             self.at = at
-            self.again.served()
+            self.backoff.served()
             if self.asking is not None:
                 self.asking.cancel()
 
@@ -92,7 +92,7 @@
         while True:
             at = self.at
             with anyio.CancelScope() as self.asking:
-                await anyio.sleep(self.again.pause())
+                await anyio.sleep(self.backoff.pause())
                 try:
                     assert at is not None
                     with anyio.fail_after(self.limits.whole_s):
@@ -104,7 +104,7 @@
                             wait = self.limits.watch_s
                             target = f"{PATH}?after={self.version}&wait_ms={round(wait * 1000.0)}"
                             await self._call(http, target, wait + self.limits.answer_s)
-                            self.again.served()  # it serves: what breaks now is mended at once
+                            self.backoff.served()  # it serves: what breaks now is mended at once
                             self.lost = False
                     finally:
                         await http.close()
--- a/brookreach/net/driver.py
+++ b/brookreach/net/driver.py
@@ -20,10 +20,12 @@
 from brookreach.decide import Marshal
 
 from . import pgwire
-from .clients import Slot
+from .client import Slot
 from .limits import Limits
-from .nodes import Listed, Nodes, PickOutcome
+from .link import Listed, PickOutcome
+from .nodes import Nodes
 from .report import Report
+from .statement import BadStatement, Statement
 from .stream import Expiring, Poller
 
 
@@ -43,7 +45,7 @@
 class Open:
     """An RPC that has no final answer yet."""
 
-    def __init__(self, statement: pgwire.Statement, slot: Slot) -> None:
+    def __init__(self, statement: Statement, slot: Slot) -> None:
         self.statement, self.slot, self.picks = statement, slot, 0
 
 
@@ -84,12 +86,12 @@
         self.set_timers += 1
         heapq.heappush(self.timers, (self.clock.now() + delay_ms, self.set_timers, what))
 
-    def take(self, statement: pgwire.Statement, slot: Slot) -> int:
+    def take(self, statement: Statement, slot: Slot) -> int:
         method = self.methods.get(statement.method)
         if method is None:
-            raise pgwire.BadStatement(b"22023", f"unknown class {statement.method!r}")
+            raise BadStatement(b"22023", f"unknown class {statement.method!r}")
         if statement.name in self.names:
-            raise pgwire.BadStatement(b"22023", "the id of another open RPC")
+            raise BadStatement(b"22023", "the id of another open RPC")
         self.taken += 1
         self.open[self.taken] = Open(statement, slot)
         self.names.add(statement.name)
@@ -203,7 +205,7 @@
         for rpc in list(self.open):
             self._answer(rpc, pgwire.error(b"XX000", "aborted"))
         self.begin()
-        entries = tuple(spot.listed.entry for spot in self.nodes.spots.values())
+        entries = tuple(endpoint.listed.entry for endpoint in self.nodes.endpoints.values())
         self._carry_out(self.marshal.handle(self.clock.now(), ifc.NodeList(ifc.ListKind.CACHED, 0, entries)))
         if self.news is not None:
             self._carry_out(self.marshal.handle(self.clock.now(), self.news))
--- a/brookreach/net/pgwire.py
+++ b/brookreach/net/pgwire.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import re
 import struct
 
 HEAD = struct.Struct("!ci")
@@ -19,14 +18,6 @@
     """The bytes are not the protocol; nothing more can be read from this connection."""
 
 
-class BadStatement(Exception):
-    """One query can't be taken; the connection is still in step. Holds the SQLSTATE and a text."""
-
-    def __init__(self, state: bytes, text: str):
-        super().__init__(text)
-        self.state = state
-
-
 class Pool:
     """Memory that connections share for what doesn't fit into their first buffers."""
 
@@ -136,121 +127,3 @@
         if field[:1] == b"C":
             return field[1:]
     return b""
-
-
-# --- statements ---
-
-COMMENT = re.compile(rb"/\*([^*]*)\*/[\s;]*\Z")
-WAIT = re.compile(rb"(?:\A|,)\s*d=([^,\s]*)")
-KINDS = re.compile(rb"\s*(select|insert)\b", re.IGNORECASE)
-HARMLESS = re.compile(rb"\s*(set|reset|discard)\b", re.IGNORECASE)
-NAME = re.compile(rb"[0-9A-Za-z_.:-]{1,64}\Z")
-
-
-class Statement:
-    """One RPC as its client worded it, ready to be passed on with another wait."""
-
-    def __init__(self, name: bytes, method: bytes, wait_ms: float, cost_ms: float | None, repeat: bool,
-                 write: bool, key: int, before: bytes, after: bytes) -> None:
-        self.name, self.method, self.wait_ms, self.cost_ms = name, method, wait_ms, cost_ms
-        self.repeat, self.write, self.key = repeat, write, key
-        self.before, self.after = before, after
-
-    def passed_on(self, wait_ms: float) -> list[bytes | memoryview]:
-        return [*query(self.before, b"%d" % max(1, int(wait_ms)), self.after)]
-
-
-def _number(values: dict[bytes, bytes], name: bytes) -> float:
-    try:
-        number = float(values[name])
-    except (KeyError, ValueError):
-        raise BadStatement(b"22023", f"no readable {name.decode()} in the comment") from None
-    if not 0.0 <= number <= 1e12:  # also what is not a number
-        raise BadStatement(b"22023", f"{name.decode()} out of range")
-    return number
-
-
-def harmless(text: memoryview) -> bytes | None:
-    """The answer to what does nothing: an empty query, SET, RESET, DISCARD."""
-    if not bytes(text[:64]).strip(b" \t\r\n;\0"):
-        return EMPTY if len(text) <= 64 else None
-    return DONE if HARMLESS.match(text) else None
-
-
-def statement(text: memoryview, comment: int) -> Statement:
-    """`text` is a query's body without the closing NUL; its comment is within the last `comment` bytes."""
-    kind = KINDS.match(text)
-    if kind is None:
-        raise BadStatement(b"42601", "neither SELECT nor INSERT")
-    tail = max(0, len(text) - comment)
-    found = COMMENT.search(text[tail:])
-    if found is None:
-        raise BadStatement(b"42601", "no comment with names and values")
-    said = found.group(1)
-    values: dict[bytes, bytes] = {}
-    for pair in said.split(b","):
-        name, _, value = pair.strip().partition(b"=")
-        values[name] = value.strip()
-    if not NAME.match(values.get(b"id", b"")):
-        raise BadStatement(b"22023", "no readable id in the comment")
-    wait, at = WAIT.search(said), tail + found.start(1)
-    wait_ms = _number(values, b"d")
-    assert wait is not None  # d was read just now
-    return Statement(
-        name=values[b"id"], method=values.get(b"c", b""), wait_ms=wait_ms,
-        cost_ms=_number(values, b"h") / 1000.0 if b"h" in values else None,
-        repeat=values.get(b"r") == b"1", write=kind.group(1).lower() == b"insert",
-        # Ids stay as the wire gives them: equal keys, equal numbers.
-        key=int.from_bytes(values[b"k"], "big") if b"k" in values else 0,
-        before=bytes(text[:at + wait.start(1)]), after=bytes(text[at + wait.end(1):]))
-
-
-# --- results ---
-
-
-VALUE = 64 * 1024  # bytes of a value at most
-SELECTED, INSERTED = b"SELECT 1\0", b"INSERT 0 1\0"
-
-
-class Result:
-    """What a node's messages say about one query, message by message.
-
-    `verdict` stays None until its end is known: then b"" for one whole row, else an SQLSTATE. What is not
-    exactly one row of one column, closed by the words for its statement, raises."""
-
-    def __init__(self, write: bool = False) -> None:
-        self.parts: list[bytes | memoryview] = []
-        self.words = INSERTED if write else SELECTED
-        self.verdict: bytes | None = None
-        self.ready = False
-
-    def message(self, tag: bytes, body: memoryview) -> None:
-        match tag:
-            case b"N" | b"S":
-                return
-            case b"Z" if self.verdict is not None and body == b"I":
-                self.ready = True
-                return
-            case b"E" if self.verdict is None:
-                self.verdict = error_state(body) or b"XX000"
-                return
-            case b"T" if not self.parts and one_column(body):
-                pass
-            case b"D" if len(self.parts) == 2 and one_value(body):
-                pass
-            case b"C" if len(self.parts) == 4 and self.verdict is None and body == self.words:
-                self.verdict = b""
-            case _:
-                raise BrokenStream(f"message {tag!r} out of place or not whole")
-        self.parts += [HEAD.pack(tag, 4 + len(body)), bytes(body)]
-
-
-def one_column(body: memoryview) -> bool:
-    """A RowDescription of one column: its name, then 18 bytes of what it is."""
-    return body[:2] == b"\0\1" and bytes(body[2:]).find(b"\0") == len(body) - 2 - 19
-
-
-def one_value(body: memoryview) -> bool:
-    """A DataRow of one column that holds a value, of the length it says."""
-    return len(body) >= 6 and body[:2] == b"\0\1" and len(body) - 6 <= VALUE and (
-        INT.unpack_from(body, 2)[0] == len(body) - 6)
--- a/brookreach/net/platform.py
+++ b/brookreach/net/platform.py
@@ -17,7 +17,7 @@
 
 from brookreach import interface as ifc
 
-from .again import Again
+from .backoff import Backoff
 from .discovery import BAD_JSON
 from .http import LOST, Http, NotHttp
 from .limits import Limits
@@ -44,14 +44,14 @@
         self.limits, self.report, self.stages, self.at, self.put = limits, report, stages, at, put
         self.methods = {name: number for number, name in enumerate(methods)}
         self.feeding: anyio.CancelScope | None = None  # the feed at the present address
-        self.again = Again(limits.again_s, limits.again_most_s, chance)  # pauses before it is opened again
+        self.backoff = Backoff(limits.again_s, limits.again_most_s, chance)  # before it is opened again
 
     def move(self, at: tuple[str, int]) -> None:
         """Votes and the feed go there from now on. Votes under way end where they were said: an answer may
         still come, and the module says again what had none."""
         if at != self.at:
             self.at = at
-            self.again.served()
+            self.backoff.served()
             if self.feeding is not None:
                 self.feeding.cancel()
 
@@ -88,7 +88,7 @@
         while True:
             at = self.at
             with anyio.CancelScope() as self.feeding:
-                await anyio.sleep(self.again.pause())
+                await anyio.sleep(self.backoff.pause())
                 http = None
                 try:
                     with anyio.fail_after(self.limits.sign_s):
@@ -122,7 +122,7 @@
                 raise NotHttp("an endless line")
             for line in lines:
                 self._line(line)
-                self.again.served()  # what breaks now is mended at once
+                self.backoff.served()  # what breaks now is mended at once
 
     def _line(self, line: bytes) -> None:
         told = json.loads(line) if line.strip() else {}
--- a/brookreach/outages/attend.py
+++ b/brookreach/outages/attend.py
@@ -48,8 +48,8 @@
         self.zone = str(parts.told["settings"]["zones"][parts.driver.start.place.zone])
         self.overlay = Overlay(lambda: parts.discovery.numbers, parts.driver.told)
         self.overlay.version = parts.discovery.version
-        for number, spot in parts.driver.nodes.spots.items():
-            self.overlay.stands[number] = spot.listed
+        for number, endpoint in parts.driver.nodes.endpoints.items():
+            self.overlay.stands[number] = endpoint.listed
         parts.discovery.told = self.overlay.told
         self.begin()
 
--- a/brookreach/outages/overlay.py
+++ b/brookreach/outages/overlay.py
@@ -12,7 +12,7 @@
 from brookreach import interface as ifc
 from brookreach.fleet.events import Changed
 from brookreach.fleet.piece import View
-from brookreach.net.nodes import Listed
+from brookreach.net.link import Listed
 from brookreach.outages.rows import NODES, PERMITS, NodeRow, PermitRow
 from brookreach.outages.targets import OUT
 
--- a/brookreach/xds/service.py
+++ b/brookreach/xds/service.py
@@ -11,7 +11,7 @@
 
 from brookreach.__main__ import Parts, object_at
 from brookreach.files import BadFile
-from brookreach.net.nodes import Listed
+from brookreach.net.link import Listed
 from brookreach.net.report import Writers
 from brookreach.tls.pair import Keeper
 from brookreach.xds import store
--- a/tests/test_grown.py
+++ b/tests/test_grown.py
@@ -11,7 +11,7 @@
 from brookreach import interface as ifc
 from brookreach.model.case import Case, Trouble
 from brookreach.model.world import ORIGIN_MS, Wave
-from brookreach.net.again import Again
+from brookreach.net.backoff import Backoff
 from brookreach.net.limits import limits_from
 
 from .helpers import SETTINGS, Town
@@ -40,15 +40,15 @@
 def asked(first_s, most_s, work_s, answer_s=3.0, until_s=90.0):
     """All marshals ask from the same moment on; the service, and when each had its answer."""
     service, had = Service(work_s), {}
-    again = [Again(first_s, most_s, random.Random(n)) for n in range(MARSHALS)]
-    due = [(one.pause(), n) for n, one in enumerate(again)]
+    backoffs = [Backoff(first_s, most_s, random.Random(n)) for n in range(MARSHALS)]
+    due = [(one.pause(), n) for n, one in enumerate(backoffs)]
     while due and due[0][0] < until_s:
         now, n = heapq.heappop(due)
         at, served = service.call(now)
         if served and at < now + answer_s:
             had[n] = at
         else:
-            heapq.heappush(due, (min(at, now + answer_s) + again[n].pause(), n))
+            heapq.heappush(due, (min(at, now + answer_s) + backoffs[n].pause(), n))
     return service, had
 
 
@@ -67,15 +67,15 @@
         self.assertGreater(len(service.calls), 20 * MARSHALS)
 
     def test_pauses_part_what_failed_together(self):
-        again = [Again(1.0, 20.0, random.Random(n)) for n in range(MARSHALS)]
-        self.assertEqual({one.pause() for one in again}, {0.0})
+        backoffs = [Backoff(1.0, 20.0, random.Random(n)) for n in range(MARSHALS)]
+        self.assertEqual({one.pause() for one in backoffs}, {0.0})
         for _ in range(6):
-            pauses = [one.pause() for one in again]
+            pauses = [one.pause() for one in backoffs]
         self.assertLess(min(pauses), 12.0)
         self.assertGreater(max(pauses), 28.0)
         self.assertLessEqual(max(pauses), 30.0)
-        again[0].served()
-        self.assertEqual(again[0].pause(), 0.0)
+        backoffs[0].served()
+        self.assertEqual(backoffs[0].pause(), 0.0)
 
     def test_what_has_changed_is_asked_for_and_not_the_whole_list(self):
         for settings, first in ((SETTINGS, "GET /registry/instances"),
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -15,7 +15,7 @@
 import anyio
 
 from brookreach import interface as ifc
-from brookreach.net import pgwire
+from brookreach.net import pgwire, statement
 from brookreach.net.discovery import BAD_JSON
 from brookreach.net.limits import limits_from
 from brookreach.net.stream import address
@@ -72,11 +72,11 @@
                      "SELECT 1 /* c=look,d=1 */", "SELECT 1 /* id=0a,c=look */", "SELECT 1 /* id=0a,c=look,d=x */",
                      "SELECT 1 /* id=0a,d=nan */", "SELECT 1 /* id=0a,d=-5 */", "SELECT 1 /* id=a b,d=5 */"):
             try:
-                one = pgwire.statement(memoryview(text.encode()), 512)
+                one = statement.statement(memoryview(text.encode()), 512)
                 trace.append(f"{text}: {one.method.decode()} wait {one.wait_ms} cost {one.cost_ms} repeat "
                              f"{one.repeat} write {one.write} key {one.key}")
                 trace.append("  " + b"".join(one.passed_on(77.9))[5:-1].decode())
-            except pgwire.BadStatement as error:
+            except statement.BadStatement as error:
                 trace.append(f"{text}: {error.state.decode()} {error}")
         self.compare("statements", trace)
 
@@ -127,7 +127,7 @@
             await town.ask(client, "row")
             town.trace.append("the node ends the idle connection: the next RPC goes over a new one")
             nodes = town.parts.driver.nodes
-            link = nodes.spots[1].idle[0]
+            link = nodes.endpoints[1].idle[0]
             link.sock.shutdown(2)
             await town.ask(client, "row", "book")
             town.trace.append(f"  connections {town.node.links}, held {nodes.links}")
@@ -148,7 +148,7 @@
             await client[0].send(b"".join(pgwire.query(b"INSERT 'row' /* id=0a,c=book,d=900 */")))
             await until(lambda: nodes.links == 1)
             for link in list(town.parts.poller.watched.values()):
-                if getattr(link, "spot", None):
+                if getattr(link, "endpoint", None):
                     nodes.cap_fell(7)  # decided under a higher cap
                     into(link.inbound, pgwire.READY)
                     link.at = 1
@@ -400,7 +400,7 @@
             os.kill(os.getpid(), signal.SIGHUP)
             await until(lambda: town.parts.discovery.version == 2 and len(town.platform.calls) > old[1])
             town.trace.append(f"moved: discovery {town.discovery.calls[old[0]]}, platform {town.platform.calls[old[1]]}")
-            states = [spot.listed.entry.state.name for spot in town.parts.driver.nodes.spots.values()]
+            states = [endpoint.listed.entry.state.name for endpoint in town.parts.driver.nodes.endpoints.values()]
             town.trace.append(f"  nodes as told there: {states}")
             town.trace.append(f"RPC under way: {await town.answer(client)}")
         self.compare("configured", [line for line in played(story) if "module" not in line])
--- a/tests/test_overlay.py
+++ b/tests/test_overlay.py
@@ -10,7 +10,7 @@
 from brookreach import interface as ifc
 from brookreach.fleet import events
 from brookreach.fleet.piece import Plain, Put
-from brookreach.net.nodes import Listed
+from brookreach.net.link import Listed
 from brookreach.outages.overlay import Agreed, Overlay
 from brookreach.outages.rows import NODES, PERMITS, NodeRow, PermitRow
 
