--- a/brookreach/net/discovery.py
+++ b/brookreach/net/discovery.py
@@ -14,6 +14,7 @@
 from typing import Any
 
 import anyio
+from anyio.abc import TaskGroup
 
 from brookreach import interface as ifc
 
@@ -30,6 +31,13 @@
 BAD_JSON = (LookupError, TypeError, ValueError, AttributeError, OverflowError, RecursionError)
 
 
+class Late:
+    """The wait until a watch is late, and whether the next one was opened then."""
+
+    def __init__(self) -> None:
+        self.waited, self.followed = anyio.CancelScope(), False
+
+
 class Discovery:
     def __init__(self, limits: Limits, report: Report, zones: list[str], kinds: list[str],
                  chance: random.Random, told: Callable[[ifc.NodeList, list[Listed]], None]):
@@ -90,31 +98,63 @@
         """Until cancelled. What is lost in between comes with the whole list that a new watch begins with or,
         where one service has all marshals to serve, with what has changed since the list that is held."""
         while True:
-            at = self.at
             with anyio.CancelScope() as self.asking:
                 await anyio.sleep(self.backoff.pause())
+                async with anyio.create_task_group() as calls:
+                    calls.start_soon(self._connection, self.at, calls)
+
+    async def _connection(self, at: tuple[str, int] | None, calls: TaskGroup,
+                          before: anyio.CancelScope | None = None) -> None:
+        """The calls on one connection, until it is lost or the next one goes on; `before` are those of the
+        late one that it was opened beside, which is left once this one has heard."""
+        with anyio.CancelScope() as all_calls:
+            try:
+                assert at is not None
+                with anyio.fail_after(self.limits.whole_s):
+                    http = await Http.connect(at)
                 try:
-                    assert at is not None
-                    with anyio.fail_after(self.limits.whole_s):
-                        http = await Http.connect(at)
-                    try:
-                        if not (self.numbers and self.limits.one_service):  # what changed since costs it less
-                            await self._call(http, PATH, self.limits.whole_s)
-                        while True:
-                            wait = self.limits.watch_s
-                            target = f"{PATH}?after={self.version}&wait_ms={round(wait * 1000.0)}"
-                            await self._call(http, target, wait + self.limits.answer_s)
-                            self.backoff.served()  # it serves: what breaks now is mended at once
-                            self.lost = False
-                    finally:
-                        await http.close()
-                except (*LOST, TimeoutError, *BAD_JSON) as error:
-                    if not self.lost:  # one line, however often it is asked again
-                        what = f"{type(error).__name__} {error}"
-                        self.report.say("discovery", f"{at}: lost, asked again: {what}")
-                    self.lost = True
-                except Exception:  # a defect must not end the program: the next try may meet better bytes
-                    self.report.say("fault", traceback.format_exc(limit=-2))
+                    if not (self.numbers and self.limits.one_service):  # what changed since costs it less
+                        await self._call(http, PATH, self.limits.whole_s)
+                    followed = False
+                    while not followed:
+                        followed = await self._watch(http, at, calls, all_calls)
+                        if before is not None:
+                            before.cancel()
+                        self.backoff.served()  # it serves: what breaks now is mended at once
+                        self.lost = False
+                finally:
+                    await http.close()
+            except (*LOST, TimeoutError, *BAD_JSON) as error:
+                if not self.lost:  # one line, however often it is asked again
+                    what = f"{type(error).__name__} {error}"
+                    self.report.say("discovery", f"{at}: lost, asked again: {what}")
+                self.lost = True
+            except Exception:  # a defect must not end the program: the next try may meet better bytes
+                self.report.say("fault", traceback.format_exc(limit=-2))
+
+    async def _watch(self, http: Http, at: tuple[str, int] | None, calls: TaskGroup,
+                     all_calls: anyio.CancelScope) -> bool:
+        """One watch; whether it was so late that the next one is open already, on a connection of its own."""
+        wait, late = self.limits.watch_s, Late()
+        if self.limits.late_s < self.limits.answer_s:
+            calls.start_soon(self._beside, at, calls, all_calls, late)
+        try:
+            target = f"{PATH}?after={self.version}&wait_ms={round(wait * 1000.0)}"
+            await self._call(http, target, wait + self.limits.answer_s)
+        finally:
+            late.waited.cancel()
+        return late.followed
+
+    async def _beside(self, at: tuple[str, int] | None, calls: TaskGroup, all_calls: anyio.CancelScope,
+                      late: Late) -> None:
+        """Opens the next watch beside one that is late. Of a late one it can't be told whether it has fallen
+        silent or waits in the queue of the service: left too soon it has used that for nothing, kept too long
+        it is a drain not heard. Whichever answers, the other is the next watch: no call is made in vain."""
+        with late.waited:
+            await anyio.sleep(self.limits.watch_s + self.limits.late_s)
+            late.followed = True
+        if late.followed:
+            await self._connection(at, calls, all_calls)
 
     async def _call(self, http: Http, target: str, wait_s: float) -> None:
         with anyio.fail_after(wait_s):
--- a/brookreach/net/limits.py
+++ b/brookreach/net/limits.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -27,6 +28,7 @@
     drain_s: float  # after a stop is asked for, the longest that RPCs under way are waited for
     one_service: bool  # the list is asked of one service for all marshals, not of an agent beside this one
     watch_s: float  # a watch of the list waits so long for something newer
+    late_s: float  # past its wait, the next watch is opened beside it, if sooner than it is given up
     answer_s: float  # past its wait, a silent watch of the list is given up
     whole_s: float  # a silent call for the whole list
     first_s: float  # at a start, how long the agent's list is waited for before RPCs are taken
@@ -77,10 +79,13 @@
         # has used it for nothing. What one marshal may ask in a second, all together may not. An agent
         # answers at once, for nothing, or is silent while discovery is down; what it has then counts as told,
         # asked or not: it is asked again so often that a drain's grace is not over before it is heard.
+        # A watch of the service that is late may have fallen silent, and what it misses counts as told 2 s
+        # past its wait: the next one is opened before the late one is left, and has 1.5 s for its answer.
         service = told["registryMode"] == "ask"
         within = to_ms(told["guarantees"]["askWithinUs"]) / 1000.0
         return Limits(
-            one_service=service, watch_s=within if service else 2.0, answer_s=3.0 if service else 1.5,
+            one_service=service, watch_s=within if service else 2.0, late_s=0.5 if service else math.inf,
+            answer_s=3.0 if service else 1.5,
             whole_s=3.0 if service else 0.15, first_s=0.0 if service else 0.5,
             refused_s=min(0.1 * told["balancers"], 0.5 * within) if service else 0.04,
             refused_most_s=2.0 * within if service else 0.04,
--- /dev/null
+++ b/tests/peers_http.py
@@ -0,0 +1,169 @@
+"""Discovery and the platform as peers that a test plays byte by byte: each call that comes in is handed to the
+test, which answers it, in whole or in part, or never."""
+
+import collections
+import contextlib
+import json
+import random
+import socket
+
+import anyio
+
+from brookreach.net.discovery import Discovery
+from brookreach.net.limits import limits_from
+from brookreach.net.platform import Platform
+
+from .helpers import NEWS, SETTINGS, Heard
+
+GONE = (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError)
+LIMITS = {"cores": 1.0, "memory_mb": 192, "sockets": 256}
+
+
+def listing(revision, phase="active", whole=True, members=("s-1",)):
+    """A list as discovery words it, or what changed of one."""
+    return {"revision": revision, "complete": whole, "members": [
+        {"id": name, "host_port": "127.0.0.1:1", "locality": "a", "flavor": "std", "cell": 0, "phase": phase,
+         "size": 1.0, "up_since_ms": 0, "revision_no": 7} for name in members]}
+
+
+class Call:
+    """One call, on the connection `nth` of those made to its peer."""
+
+    def __init__(self, nth, stream, target, body):
+        self.nth, self.stream, self.target, self.body, self.left = nth, stream, target, body, anyio.Event()
+
+    async def send(self, data):
+        await self.stream.send(data)
+
+    async def answer(self, told, status=200, more=""):
+        """`told` as JSON, whole."""
+        body = json.dumps(told).encode()
+        await self.send(f"HTTP/1.1 {status} OK\r\n{more}Content-Length: {len(body)}\r\n\r\n".encode() + body)
+
+    async def close(self):
+        await self.stream.aclose()
+
+    async def reset(self):
+        """Closes it as a process that dies does."""
+        raw = self.stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+        await anyio.aclose_forcefully(self.stream)
+
+
+class Peer:
+    """Listens; `call` gives the calls in the order in which they came, `made` counts connections."""
+
+    def __init__(self, mute=False):
+        self.mute, self.made, self.count = mute, 0, 0  # mute: takes connections and never reads
+        self.calls, self.came, self.connected = collections.deque(), anyio.Event(), anyio.Event()
+
+    async def call(self):
+        while not self.calls:
+            self.came = anyio.Event()
+            await self.came.wait()
+        return self.calls.popleft()
+
+    async def listen(self, tasks):
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        self.at = ("127.0.0.1", listener.extra(anyio.abc.SocketAttribute.local_port))
+        tasks.start_soon(self.serve_all, listener)
+        return self
+
+    async def serve_all(self, listener):
+        async with listener:
+            await listener.serve(self.serve)
+
+    async def serve(self, stream):
+        async with stream:
+            await self.serve_one(stream)
+
+    async def serve_one(self, stream):
+        self.made += 1
+        self.connected.set()
+        nth, data, call = self.made, b"", None
+        if self.mute:
+            await anyio.sleep_forever()
+        with contextlib.suppress(*GONE):
+            while True:
+                while b"\r\n\r\n" not in data:
+                    data += await stream.receive()
+                head, _, data = data.partition(b"\r\n\r\n")
+                size = sum(int(line[15:]) for line in head.lower().split(b"\r\n")
+                           if line.startswith(b"content-length:"))
+                while len(data) < size:
+                    data += await stream.receive()
+                call = Call(nth, stream, head.split()[1].decode(), data[:size])
+                data = data[size:]
+                self.count += 1
+                self.calls.append(call)
+                self.came.set()
+        if call is not None:
+            call.left.set()
+
+
+def limits(service=False, **other):
+    """A marshal's own, but for what is made short so that a test needs no wait."""
+    told = limits_from(LIMITS, SETTINGS | ({"registryMode": "ask", "balancers": 200} if service else {}))
+    return replaced(told, other)
+
+
+def replaced(told, other):
+    """Compiled or not: `Limits` can't be changed, so a new one is made of its fields."""
+    return type(told)(**{name: getattr(told, name) for name in type(told).__dataclass_fields__} | other)
+
+
+class Following:
+    """Discovery alone, which follows a peer; `told` are the lists that the driver would hear."""
+
+    def __init__(self, at, bounds):
+        self.told, self.report, self.grown = [], Heard(), anyio.Event()
+        self.discovery = Discovery(bounds, self.report, ["a", "b"], ["std"], random.Random(3), self.tell)
+        self.discovery.move(at)
+
+    def tell(self, told, listed):
+        self.told.append(told)
+        self.grown.set()
+        self.grown = anyio.Event()
+
+    async def lists(self, count):
+        """Waits for so many lists; each as its version and the states of its nodes."""
+        while len(self.told) < count:
+            await self.grown.wait()
+        return [(one.version, [entry.state.name for entry in one.entries]) for one in self.told]
+
+
+class Voting:
+    """The platform's part alone; `put` is what the driver would hear."""
+
+    def __init__(self, at, bounds):
+        self.put, self.report, self.grown = [], Heard(), anyio.Event()
+        self.platform = Platform(bounds, self.report, ["look"], 2, at, random.Random(3), self.hear)
+
+    def hear(self, event):
+        self.put.append(event)
+        self.grown.set()
+        self.grown = anyio.Event()
+
+    async def heard(self, count):
+        while len(self.put) < count:
+            await self.grown.wait()
+        return self.put[count - 1]
+
+
+ROLLOUT = json.dumps({"type": "ROLLOUT", "object": NEWS}).encode() + b"\n"
+FEED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+def chunk(data):
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def played(story, most_s=20.0):
+    """`story(tasks)` to its end; whatever it left running is cancelled."""
+    async def run():
+        with anyio.fail_after(most_s):
+            async with anyio.create_task_group() as tasks:
+                await story(tasks)
+                tasks.cancel_scope.cancel()
+
+    anyio.run(run)
--- /dev/null
+++ b/tests/test_endings_lists.py
@@ -0,0 +1,189 @@
+"""Lists that go quiet, end or go back, at each instant of a call: a drain is heard before it counts as told, and
+the last good list stays."""
+
+import unittest
+
+import anyio
+
+from .peers_http import Following, Peer, limits, listing, played
+
+QUICK = {"watch_s": 0.1, "late_s": 0.05, "answer_s": 2.0, "whole_s": 2.0}
+
+
+class OneServiceTest(unittest.TestCase):
+    """A watch that is late is followed by the next one before it is left."""
+
+    def following(self, story, **other):
+        async def run(tasks):
+            peer = await Peer().listen(tasks)
+            town = Following(peer.at, limits(True, **QUICK | other))
+            town.discovery.read(listing(1), cached=True)
+            tasks.start_soon(town.discovery.follow)
+            await story(town, peer)
+
+        played(run)
+
+    def test_the_next_watch_has_heard_before_what_a_silent_one_missed_counts_as_told(self):
+        for service in limits(True), limits(True, watch_s=1.0):
+            self.assertLessEqual(service.late_s + 1.5, 2.0)  # past its wait: room for an answer that takes 1.5 s
+            self.assertGreaterEqual(service.answer_s, 2.5)  # a late answer is not left in the queue
+
+    def test_a_silent_watch_is_followed_beside_itself_and_then_left(self):
+        async def story(town, peer):
+            silent = await peer.call()
+            beside = await peer.call()
+            self.assertEqual((silent.target, beside.nth), (beside.target, 2))
+            self.assertFalse(silent.left.is_set())
+            await beside.answer(listing(2, "leaving", whole=False))
+            self.assertEqual((await town.lists(2))[-1], (2, ["DRAINING"]))
+            await silent.left.wait()
+            self.assertIn("after=2", (await peer.call()).target)
+            self.assertEqual(town.report.lines, [])  # the list was never lost
+
+        self.following(story)
+
+    def test_a_late_answer_counts_and_the_one_opened_beside_it_is_the_next_watch(self):
+        async def story(town, peer):
+            for _ in range(2):
+                late = await peer.call()
+                beside = await peer.call()
+                await late.answer(listing(town.discovery.version + 1, whole=False))
+                await late.left.wait()
+                self.assertFalse(peer.calls)  # nothing more is asked
+                await beside.answer(listing(town.discovery.version + 1, whole=False))
+            self.assertEqual(peer.count, 4)  # as many calls as answers
+
+        self.following(story, watch_s=0.3)
+
+    def test_a_watch_answered_in_time_is_the_only_one(self):
+        async def story(town, peer):
+            for version in range(2, 6):
+                call = await peer.call()
+                await call.answer(listing(version, whole=False))
+                await town.lists(version)
+            self.assertEqual(peer.made, 1)
+
+        self.following(story, watch_s=5.0)
+
+    def test_the_one_beside_it_is_refused_and_the_late_one_still_heard(self):
+        async def story(town, peer):
+            late = await peer.call()
+            beside = await peer.call()
+            await beside.answer({}, status=503)
+            await beside.left.wait()
+            await late.answer(listing(2, "leaving", whole=False))
+            self.assertEqual((await town.lists(2))[-1], (2, ["DRAINING"]))
+            self.assertIn("after=2", (await peer.call()).target)  # it served: asked again at once
+
+        self.following(story)
+
+
+class QuietTest(unittest.TestCase):
+    """An agent that falls silent in each part of a call is left and asked anew; a later list is heard."""
+
+    def heard_after(self, quiet, whole=True):
+        """`quiet(call)` breaks the whole list's call, or a watch; then the agent answers."""
+        async def run(tasks):
+            peer = await Peer().listen(tasks)
+            town = Following(peer.at, limits(watch_s=0.1, answer_s=0.1, whole_s=0.1))
+            town.discovery.read(listing(1), cached=True)
+            tasks.start_soon(town.discovery.follow)
+            broken = await peer.call()
+            if not whole:
+                await broken.answer(listing(1))
+                broken = await peer.call()
+            await quiet(broken)
+            again = await peer.call()
+            self.assertGreater(again.nth, broken.nth)
+            self.assertEqual(again.target, "/registry/instances")
+            self.assertEqual(town.discovery.version, 1)  # the last good one
+            await again.answer(listing(2, "leaving"))
+            self.assertEqual((await town.lists(len(town.told) + 1))[-1], (2, ["DRAINING"]))
+            self.assertLessEqual(len(town.report.lines), 1)
+            self.assertNotIn("fault", " ".join(town.report.lines))
+
+        played(run)
+
+    def test_silent_or_ended_at_each_part(self):
+        body = b'{"revision": 2, "complete": true, "members": []}'
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+        parts = [b"", b"HTTP/1.1", b"HTTP/1.1 200 OK\r\n", head, head + body[:20], head + body[:-1],
+                 b"HTTP/1.1 100 Continue\r\n\r\n", b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n30\r\n" + body]
+        for whole in (True, False):
+            for part in parts:
+                async def silent(call, part=part):
+                    await call.send(part or b"")
+
+                async def ended(call, part=part):
+                    await call.send(part)
+                    await call.close()
+
+                async def reset(call, part=part):
+                    await call.send(part)
+                    await call.reset()
+
+                for quiet in (silent, ended, reset):
+                    with self.subTest(whole=whole, part=part, quiet=quiet.__name__):
+                        self.heard_after(quiet, whole)
+
+    def test_a_body_that_drips_is_left_in_time(self):
+        async def drips(call):
+            await call.send(b"HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n")
+            while not call.left.is_set():
+                try:
+                    await call.send(b" ")
+                except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+                    return
+                await anyio.sleep(0.002)
+
+        for whole in (True, False):
+            self.heard_after(drips, whole)
+
+    def test_interim_answers_without_end_are_left_in_time(self):
+        async def drips(call):
+            while not call.left.is_set():
+                try:
+                    await call.send(b"HTTP/1.1 102 Processing\r\n\r\n")
+                except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+                    return
+                await anyio.sleep(0.002)
+
+        self.heard_after(drips)
+
+    def test_heads_and_bodies_without_end_are_bounded(self):
+        async def endless(call, head):
+            with_body = b"x" * 65536
+            await call.send(head)
+            while not call.left.is_set():
+                try:
+                    await call.send(with_body)
+                except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+                    return
+
+        for head in (b"HTTP/1.1 200 OK\r\nX: ", b"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n"):
+            async def flood(call, head=head):
+                await endless(call, head)
+
+            self.heard_after(flood)
+
+    def test_an_agent_that_never_reads_or_refuses_does_not_end_it(self):
+        async def run(tasks):
+            mute, peer = await Peer(mute=True).listen(tasks), await Peer().listen(tasks)
+            town = Following(mute.at, limits(whole_s=0.1))
+            town.discovery.read(listing(1), cached=True)
+            tasks.start_soon(town.discovery.follow)
+            while mute.made < 3:
+                mute.connected = anyio.Event()
+                await mute.connected.wait()
+            town.discovery.move(("127.0.0.1", 1))  # refused
+            while not town.report.lines:
+                await anyio.sleep(0)
+            town.discovery.move(peer.at)
+            await (await peer.call()).answer(listing(2, "leaving"))
+            self.assertEqual((await town.lists(2))[-1], (2, ["DRAINING"]))
+
+        played(run)
+
+
+if __name__ == "__main__":
+    unittest.main()
