A configuration too deep to be read costs no RPC, a SIGHUP while modules are read not the start

Seen, with real processes: (1) SIGHUP while the file held 100,000 open brackets ended the marshal with a trace, and the RPC under way got no answer; at the start the same file gave a trace and exit 1. (2) SIGHUP to a process that was still reading its modules (some 0.3 s of processor time, a second and more on a share of a core) ended it: the handler stood only once all was read. Ruled out: a second SIGTERM, SIGINT and SIGHUP while it stops, SIGTERM before the first list, the agent silent, refusing, never reading, dripping (tests kept; an empty query is answered in each). Lines: __main__.py, object_at caught ValueError alone (json raises RecursionError), hung_up BadStart alone; serve set the handler. Mend: RecursionError is an unreadable file; a defect in reading a configuration is one fault line; SIGHUP is ignored from the first line on until the configuration is about to be read, since that reads what the signal told of.

--- a/brookreach/__main__.py
+++ b/brookreach/__main__.py
@@ -6,12 +6,17 @@
 
 from __future__ import annotations
 
+import signal
+
+if __name__ == "__main__":  # a SIGHUP while the rest is read would end us; the configuration is read later
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 import gc
 import json
 import os
 import random
-import signal
 import sys
+import traceback
 from collections.abc import Callable, Mapping
 from pathlib import Path
 from typing import Any, Protocol
@@ -50,7 +55,7 @@
             told = json.load(file)
     except OSError as error:
         raise BadStart(f"{named} can't be read: {error}") from None
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise BadStart(f"{path} is not JSON: {error}") from None
     if not isinstance(told, dict):
         raise BadStart(f"{path} holds no object")
@@ -123,6 +128,8 @@
             self.configure(configuration(os.environ))
         except BadStart as error:
             self.report.say("marshal", f"configuration not taken: {error}")
+        except Exception:  # a defect must not end the RPCs under way
+            self.fault(traceback.format_exc(limit=-2))
 
     async def run(self) -> None:
         self.taken: OSError | None = None  # why its address can't be listened on
