--- a/brookreach/__main__.py
+++ b/brookreach/__main__.py
@@ -7,15 +7,16 @@
 from __future__ import annotations
 
 import signal
+import sys
 
-if __name__ == "__main__":  # a SIGHUP while the rest is read would end us; the configuration is read later
+if __name__ == "__main__" and len(sys.argv) < 2:
+    # A SIGHUP while the rest is imported would end us. The configuration that it tells of is read after that.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
 import gc
 import json
 import os
 import random
-import sys
 import traceback
 from collections.abc import Callable, Mapping
 from pathlib import Path
--- a/brookreach/net/discovery.py
+++ b/brookreach/net/discovery.py
@@ -9,6 +9,7 @@
 import json
 import math
 import random
+import time
 import traceback
 from collections.abc import Callable, Mapping
 from typing import Any
@@ -47,6 +48,9 @@
         self.numbers: dict[str, int] = {}  # of the ids that are listed
         self.made = 0  # numbers given out so far
         self.version = 0
+        self.ready: set[str] = set()  # ids listed as ready
+        # The highest version told; since when lists are below it; whether the whole list is to be asked for.
+        self.highest, self.behind_at, self.doubted = 0, math.inf, False
         self.at: tuple[str, int] | None = None
         self.asking: anyio.CancelScope | None = None  # all that is under way at the present address
         self.heard = anyio.Event()  # a list that was asked for has come
@@ -54,7 +58,11 @@
         self.backoff = Backoff(limits.refused_s, limits.refused_most_s, chance)  # before it is asked again
 
     def read(self, listing: Mapping[str, Any], cached: bool = False) -> None:
-        """One list or change of it, as discovery words it; all of it is taken or nothing."""
+        """One list or change of it, as discovery words it; all of it is taken or nothing.
+
+        One that is older than what was told already, as another agent may give it, takes no drain back: ready
+        is then what both call ready.
+        """
         whole, version = listing["complete"], int(listing["revision"])
         if not isinstance(whole, bool):
             raise ValueError("complete is no boolean")
@@ -62,26 +70,35 @@
         if len(set(ids)) < len(ids):
             raise ValueError("one id twice")
         numbers, made = ({} if whole else dict(self.numbers)), self.made
-        listed = []
+        listed, ready = [], set() if whole else self.ready - set(ids)
+        behind = not cached and version < self.highest
         for name, one in zip(ids, listing["members"], strict=True):
             number = self.numbers.get(name, 0)
             if not number:
                 number = made = made + 1
             numbers[name] = number
-            listed.append(self._entry(number, one))
+            listed.append(self._entry(number, one, behind and name not in self.ready))
+            if listed[-1].entry.state == ifc.NodeState.READY:
+                ready.add(name)
             if listed[-1].entry.state == ifc.NodeState.GONE:
                 del numbers[name]  # forgotten; should the id come back, it is a new node
-        self.numbers, self.made, self.version = numbers, made, version
+        self.numbers, self.made, self.version, self.ready = numbers, made, version, ready
+        if behind:
+            self.behind_at = min(self.behind_at, time.monotonic())
+        elif not cached:
+            self.highest, self.behind_at = version, math.inf
+        self.doubted = self.doubted and not whole
         kind = ifc.ListKind.CACHED if cached else ifc.ListKind.FULL if whole else ifc.ListKind.DELTA
         if listed or whole:
             self.told(ifc.NodeList(kind, version, tuple(one.entry for one in listed)), listed)
 
-    def _entry(self, number: int, one: Mapping[str, Any]) -> Listed:
-        started, size = float(one["up_since_ms"]), float(one["size"])
+    def _entry(self, number: int, one: Mapping[str, Any], drained: bool) -> Listed:
+        state, started, size = STATES[one["phase"]], float(one["up_since_ms"]), float(one["size"])
         if not 0.0 <= started < math.inf or not 0.0 < size < math.inf:
             raise ValueError("up_since_ms or size out of range")
         entry = ifc.NodeEntry(
-            node=number, state=STATES[one["phase"]], started_ms=started, build=int(one["revision_no"]),
+            node=number, state=ifc.NodeState.DRAINING if drained and state == ifc.NodeState.READY else state,
+            started_ms=started, build=int(one["revision_no"]),
             zone=self.zones[one["locality"]], cell=int(one["cell"]), kind=self.kinds[one["flavor"]],
             size=size)
         return Listed(entry, address(one["host_port"]))
@@ -113,7 +130,8 @@
                 with anyio.fail_after(self.limits.whole_s):
                     http = await Http.connect(at)
                 try:
-                    if not (self.numbers and self.limits.one_service):  # what changed since costs it less
+                    # Of one service: what has changed since, which costs it less.
+                    if self.doubted or not (self.numbers and self.limits.one_service):
                         await self._call(http, PATH, self.limits.whole_s)
                     followed = False
                     while not followed:
@@ -167,3 +185,6 @@
             raise NotHttp(f"status {status}")
         self.read(json.loads(body))
         self.heard.set()
+        if time.monotonic() - self.behind_at > self.limits.behind_s:  # it is not late: it counts anew
+            self.highest, self.behind_at, self.doubted = 0, math.inf, True
+            raise NotHttp(f"its versions stay below what was told: now {self.version}")
--- a/brookreach/net/limits.py
+++ b/brookreach/net/limits.py
@@ -49,6 +49,7 @@
     # Stopping: connections go on coming for a moment after the signal.
     linger_s: float = 0.5
     # Discovery and the platform.
+    behind_s: float = 10.0  # lists older than what was told take no drain back for so long, then they do
     again_s: float = 0.1  # between tries of the feed after a failure
     again_most_s: float = 1.0
     sign_s: float = 3.5  # a feed without a sign of life for so long is opened anew
--- /dev/null
+++ b/tests/test_endings_versions.py
@@ -0,0 +1,66 @@
+"""Lists whose version goes back, as another agent gives them after a move: a drain that was told stays told, and one
+that numbers its lists anew is believed in the end."""
+
+import unittest
+
+from .peers_http import Following, Peer, limits, listing, played
+
+
+def states(told):
+    return {entry.node: entry.state.name for entry in told.entries}
+
+
+def members(**phases):
+    rows = [listing(1, phase, members=(name,))["members"][0] for name, phase in phases.items()]
+    return {"members": rows}
+
+
+class VersionsTest(unittest.TestCase):
+    def moved(self, story, **other):
+        """`s1` was drained at version 5, `s3` had left by then; then another agent is asked."""
+        async def run(tasks):
+            old, new = await Peer().listen(tasks), await Peer().listen(tasks)
+            town = Following(old.at, limits(**other))
+            tasks.start_soon(town.discovery.follow)
+            await (await old.call()).answer(listing(4) | members(s1="active", s2="active", s3="active"))
+            watch = await old.call()
+            await watch.answer(listing(5, whole=False) | members(s1="leaving", s3="left"))
+            await town.lists(2)
+            town.discovery.move(new.at)
+            await story(town, new)
+            self.assertNotIn("fault", " ".join(town.report.lines))
+
+        played(run)
+
+    def test_an_agent_that_is_behind_takes_no_drain_back(self):
+        async def story(town, new):
+            await (await new.call()).answer(listing(4) | members(s1="active", s2="active", s3="active"))
+            await town.lists(3)
+            self.assertEqual(list(states(town.told[2]).values()), ["DRAINING", "READY", "DRAINING"])
+            watch = await new.call()
+            self.assertIn("after=4&", watch.target)  # what it lacks is heard when it has it
+            await watch.answer(listing(5, whole=False) | members(s1="leaving", s3="left"))
+            await (await new.call()).answer(listing(6, whole=False) | members(s1="active"))
+            await town.lists(5)
+            self.assertEqual(states(town.told[4]), {1: "READY"})
+
+        self.moved(story)
+
+    def test_an_agent_that_is_ahead_is_taken_as_it_stands(self):
+        async def story(town, new):
+            await (await new.call()).answer(listing(6) | members(s1="active", s2="active"))
+            await town.lists(3)
+            self.assertEqual(states(town.told[2]), {1: "READY", 2: "READY"})
+
+        self.moved(story)
+
+    def test_one_that_stays_behind_numbers_anew_and_is_asked_for_all_of_it(self):
+        async def story(town, new):
+            await (await new.call()).answer(listing(1) | members(s1="active", s2="active"))
+            whole = await new.call()
+            self.assertEqual(whole.target, "/registry/instances")
+            await whole.answer(listing(1) | members(s1="active", s2="active"))
+            await town.lists(4)
+            self.assertEqual(states(town.told[3]), {1: "READY", 2: "READY"})
+
+        self.moved(story, behind_s=-1.0)
