--- /dev/null
+++ b/tests/test_net_bytes.py
@@ -0,0 +1,46 @@
+"""Messages and statements read from bytes, as traces."""
+
+from brookreach.net import pgwire, statement
+
+from .helpers import REPLIES, TraceCase, into
+
+
+class BytesTest(TraceCase):
+    def test_messages_cut_at_every_byte(self):
+        data = b"".join([*REPLIES["row with notices"], *REPLIES["error"]])
+        whole = None
+        for cut in range(len(data) + 1):
+            inbound, seen = pgwire.Inbound(1 << 20, pgwire.Pool(1 << 22), first=16), []
+            for part in (data[:cut], data[cut:]):
+                into(inbound, part)
+                while (message := inbound.message()) is not None:
+                    seen.append((message[0], bytes(message[1])))
+            whole = whole or seen
+            self.assertEqual((cut, seen), (cut, whole))
+        self.assertEqual(b"".join(tag for tag, _ in whole), b"NTDSCZEZ")
+
+    def test_memory_goes_by_what_has_come(self):
+        inbound = pgwire.Inbound(1 << 20, pgwire.Pool(1 << 22))
+        into(inbound, b"Q" + (1 << 19).to_bytes(4, "big") + bytes(1000))
+        self.assertIsNone(inbound.message())
+        self.assertLess(len(inbound.data), 4096)
+        for length in (0, 3, (1 << 20) + 1, 0xFFFFFFFF):
+            inbound = pgwire.Inbound(1 << 20, pgwire.Pool(1 << 22))
+            into(inbound, b"Q" + length.to_bytes(4, "big"))
+            with self.assertRaises(pgwire.BrokenStream):
+                inbound.message()
+
+    def test_statements(self):
+        trace = []
+        for text in ("SELECT 1 /* id=0a,c=look,d=480 */", "insert into x /* d=480.5, id=0a, c=book, r=1, h=2500 */ ;",
+                     "SELECT '/* id=1,c=x,d=1 */' /* id=0b,c=look,d=9,k=7f */", "SELECT 1", "DELETE /* id=0a,d=1 */",
+                     "SELECT 1 /* c=look,d=1 */", "SELECT 1 /* id=0a,c=look */", "SELECT 1 /* id=0a,c=look,d=x */",
+                     "SELECT 1 /* id=0a,d=nan */", "SELECT 1 /* id=0a,d=-5 */", "SELECT 1 /* id=a b,d=5 */"):
+            try:
+                one = statement.statement(memoryview(text.encode()), 512)
+                trace.append(f"{text}: {one.method.decode()} wait {one.wait_ms} cost {one.cost_ms} repeat "
+                             f"{one.repeat} write {one.write} key {one.key}")
+                trace.append("  " + b"".join(one.passed_on(77.9))[5:-1].decode())
+            except statement.BadStatement as error:
+                trace.append(f"{text}: {error.state.decode()} {error}")
+        self.compare("statements", trace)
--- /dev/null
+++ b/tests/test_net_fuzz.py
@@ -0,0 +1,89 @@
+"""Spoilt bytes on each of the four readers."""
+
+import contextlib
+import json
+import random
+import unittest.mock
+
+import anyio
+
+from brookreach.net import pgwire
+from brookreach.net.discovery import BAD_JSON
+
+from .helpers import NEWS, REPLIES, TraceCase, played, until
+
+
+def spoilt(data, seed, count):
+    """So many spoilt copies of some bytes: cut, flipped, repeated, with a length of its own."""
+    chance = random.Random(seed)
+    for _ in range(count):
+        at, kind = chance.randrange(1, len(data)), chance.randrange(4)
+        if kind == 0:
+            yield data[:at]
+        elif kind == 1:
+            yield data[:at] + bytes([data[at] ^ 1 << chance.randrange(8)]) + data[at + 1:]
+        elif kind == 2:
+            yield data[:at] + data[chance.randrange(at):]
+        else:
+            yield data[:at] + chance.randbytes(4) + data[at:]
+
+
+class FuzzTest(TraceCase):
+    """Spoilt bytes on each of the four readers: what is not whole changes nothing, and the marshal serves on."""
+
+    def test_clients(self):
+        async def story(town):
+            whole = pgwire.hello("portal", "crm") + b"".join(pgwire.query(b"SELECT 'row' /* id=0a,c=look,d=40 */"))
+            for data in spoilt(whole, 1, 150):
+                stream, _ = await town.client(start=False)
+                await stream.send(data)
+                with contextlib.suppress(anyio.EndOfStream, anyio.BrokenResourceError), anyio.move_on_after(0.02):
+                    while True:
+                        await stream.receive()
+                await stream.aclose()
+            await until(lambda: not town.parts.clients.open and not town.parts.driver.open)
+            client = await town.client()
+            await town.answer(client)
+            await town.ask(client, "row")
+            self.assertEqual((town.trace[-1], town.parts.clients.pool.free), (
+                "look 'row': row 9f03, complete", town.parts.limits.large))
+        played(story)
+
+    def test_nodes(self):
+        async def story(town):
+            client = await town.client()
+            await town.answer(client)
+            whole, answers = b"".join(REPLIES["row"]), set()
+            with unittest.mock.patch.dict(REPLIES):
+                for data in spoilt(whole, 2, 150):
+                    REPLIES["spoilt"] = [data]
+                    await town.ask(client, "spoilt", wait=40)
+                    answers.add(town.trace[-1].split(": ")[1].split(" ")[0])
+                    self.assertRegex(town.trace[-1], r"row [0-9a-f]{4}, complete$|error (XX000|53300 D=500)$")
+            self.assertEqual(answers, {"row", "error"})
+            while town.trace[-1] != "look 'row': row 9f03, complete":  # time-outs have it push back for a while
+                await anyio.sleep(0.1)
+                await town.ask(client, "row")
+        played(story)
+
+    def test_discovery_and_platform(self):
+        async def story(town):
+            parts, refused = town.parts, [0, 0]
+            news = json.dumps({"type": "ROLLOUT", "object": NEWS}).encode()
+            tally = {"version": 7, "kind": "look", "requests": 57, "failures": 2, "avgMs": 18.5, "observedAgoMs": 900}
+            for data in spoilt(town.members().encode(), 3, 400):
+                before = dict(parts.discovery.numbers), parts.discovery.version
+                try:
+                    parts.discovery.read(json.loads(data))
+                except BAD_JSON:
+                    refused[0] += 1
+                    self.assertEqual(before, (parts.discovery.numbers, parts.discovery.version))
+            for whole in (news, json.dumps({"type": "SAMPLE", "object": tally}).encode()):
+                for data in spoilt(whole, 4, 400):
+                    try:
+                        parts.platform._line(data)
+                    except BAD_JSON:
+                        refused[1] += 1
+            self.assertTrue(all(refused), refused)
+            await until(lambda: not parts.driver.queue)  # and the module bears what was taken
+        played(story)
--- /dev/null
+++ b/tests/test_net_services.py
@@ -0,0 +1,59 @@
+"""Discovery and the platform against stand-ins on loopback, as traces; none depends on the machine's speed."""
+
+import json
+
+from brookreach import interface as ifc
+
+from .helpers import NEWS, TraceCase, played, until
+
+
+class ServicesTest(TraceCase):
+    def test_votes(self):
+        async def story(town):
+            vote = town.parts.platform.vote
+            for answer in ((200, json.dumps(NEWS), True), (429, '{"error":"BUSY"}', True),
+                           (409, '{"error":"STALE"}', True), (500, "", True), (400, "", True), (302, "", True),
+                           (200, "{", True), (200, '{"version":7}', True), (0, "", True), (200, "", False)):
+                town.ballot = answer
+                town.trace.append(f"{answer[0]} {answer[1] if answer[0] != 200 else ''}")
+                before = len(town.trace)
+                await vote(ifc.Vote(ifc.Verdict.BACK, 1, 7))
+                await until(lambda before=before: any("vote" in line for line in town.trace[before:]))
+            ballots = [call for call in town.platform.calls if "ballots" in call]
+            town.trace.append(f"calls {len(ballots)}, each {ballots[0]}")
+            town.parts.platform.at = ("127.0.0.1", 1)
+            await vote(ifc.Vote(ifc.Verdict.BACK, 1, 7))
+            await until(lambda: "NO_CONNECT" in town.trace[-1])
+        self.compare("votes", played(story))
+
+    def test_feed_and_watch_lost_and_found(self):
+        async def story(town):
+            driver = town.parts.driver
+            told = {**NEWS, "step": 0, "version": 8, "status": "Progressing", "maxWeight": 0.1}
+            good_line = json.dumps({"type": "ROLLOUT", "object": told})
+            feeds = town.platform.calls
+            await until(lambda: feeds.count("GET /api/feed") == 1)
+            for bad in ("not json", "[]", '{"type":"ROLLOUT"}', '{"type":"SAMPLE","object":{"version":7}}', "[" * 9999,
+                        json.dumps({"type": "ROLLOUT", "object": {**told, "step": 2}}), "\xff{",
+                        good_line.replace("0.1", "1e999"), good_line.replace("0.1", "[]")):
+                before = feeds.count("GET /api/feed")
+                town.feed = (200, f"{{}}\n{bad}\n{good_line}\n", False)
+                town.parts.platform.feeding.cancel()  # as when the platform ends it
+                await until(lambda before=before: feeds.count("GET /api/feed") > before + 1)
+                town.trace.append(f"feed with {bad[:60]}: opened anew, build {driver.news.build}")
+            town.feed = (200, good_line + "\n", False)
+            await until(lambda: driver.news.build == 8)
+            town.trace.append(f"a feed that reads whole: build {driver.news.build} cap {driver.news.cap}")
+            good = town.members
+            town.members = lambda: '{"revision":3,"complete":true,"members":[{"id":"s-1","phase":"new"}]}'
+            calls = len(town.discovery.calls)
+            town.pause.set()
+            await until(lambda: town.discovery.calls[calls:].count("GET /registry/instances") > 1)
+            town.trace.append(f"bad lists: the last good one is kept, version {town.parts.discovery.version}")
+            town.members, town.revision = good, 4
+            await until(lambda: town.parts.discovery.version == 4)
+            town.trace.append("found again by a whole list")
+            client = await town.client()
+            await town.answer(client)
+            await town.ask(client, "row")
+        self.compare("lost_and_found", played(story))
--- /dev/null
+++ b/tests/town.py
@@ -0,0 +1,215 @@
+"""The network side: a real marshal and its small stand-ins, all in one process on loopback."""
+
+import contextlib
+import json
+import os
+import shutil
+import socket
+import tempfile
+
+import anyio
+
+from brookreach import interface as ifc
+from brookreach.__main__ import Parts
+from brookreach.drills import stand
+from brookreach.drills.stand import ROW, HttpStand, into
+from brookreach.net import pgwire
+from brookreach.net.stream import address
+
+US = 1000  # of a millisecond
+SETTINGS = {
+    "allowed": {"cancel": True, "cpuUsPerRequest": 0.0, "cpuUsPerS": 400000, "dialTimeoutUs": 250 * US,
+                "keepaliveUs": 30_000 * US, "maxRetryAfterUs": 2000 * US, "maxStreams": 1, "mostHeld": 20000,
+                "peers": False, "probes": True, "retryAfter": True, "secondCopies": False, "sendCap": 2},
+    "balancers": 1,
+    "classes": [{"aimUs": 1000 * US, "dedupScope": "all", "hardLimitUs": 3000 * US, "idempotency": repeat,
+                 "lateWorth": 0.0, "name": name, "stream": False, "windowUs": 5000 * US, "worth": 1.0}
+                for name, repeat in (("look", "read_like"), ("book", "non_idempotent"))],
+    "familyInfo": {"answerWaitUs": 300 * US, "ballotTtlUs": 6000 * US, "blastPrice": 5.0, "capScope": "all",
+                   "complaintShare": 0.0, "countedOverUs": 4000 * US, "delayPrice": 0.45,
+                   "exposureCaps": [0.1, 1.0], "forwardOnly": False, "gateMode": "any", "guardedStages": 0,
+                   "holdVotes": 0, "metricsPeriodUs": 0, "minDwellUs": 1500 * US, "movesAfterUs": 0,
+                   "newsPeriodUs": 4000 * US, "replaceMode": "in_place", "sample": 0.4,
+                   "stageShare": [0.1, 1.0], "toAbort": 1, "toAdvance": 1, "uncounted": 3.0,
+                   "voteAllowance": 15.0, "warmKeys": False},
+    "fees": {"crossZone": 0.0, "waste": 0.05, "probe": 0.01, "lateFail": 0.08},
+    "guarantees": {"answerSlackUs": 20 * US, "askWithinUs": 10_000 * US, "coldShare": 0.3,
+                   "drainGraceUs": 250 * US, "fallMultiple": 2.5, "tipAfterUs": 2000 * US,
+                   "warmWithinUs": 4500 * US},
+    "myZone": 0, "ordinal": 0, "overShareWorth": 0.1, "registryMode": "push",
+    "report": {"fields": [], "via": "off"}, "skus": ["std"], "tenants": [], "tickUs": 5000, "zones": ["a", "b"],
+}
+NEWS = {"version": 7, "step": 1, "status": "Healthy", "maxWeight": 1.0, "observedAgoMs": 0}
+REPLIES = {
+    "row": stand.SERVED["row"],
+    "row with notices": [*pgwire.framed(b"N", b"\0"), *ROW[:4], *pgwire.framed(b"S", b"x\0y\0"), *ROW[4:],
+                         pgwire.READY],
+    "error": stand.SERVED["error"],
+    "full": [pgwire.error(b"53300", "full")],
+    "no row": [*ROW[:2], *ROW[4:], pgwire.READY],
+    "two rows": [*ROW[:4], *ROW[2:], pgwire.READY],
+    "null": [*ROW[:2], *pgwire.framed(b"D", b"\0\1\xff\xff\xff\xff"), *ROW[4:], pgwire.READY],
+    "two results": [*ROW, *ROW, pgwire.READY],
+    "after ready": [*ROW, pgwire.READY, *ROW],
+    "noise behind": [*ROW, b"\xff\xfe", pgwire.READY],
+    "noise after ready": [*ROW, pgwire.READY, b"\xff\xff\xff\xff\xff"],
+    "other words": [*ROW[:4], *pgwire.framed(b"C", b"SELECT 2\0"), pgwire.READY],
+    "two columns": [*pgwire.framed(b"T", b"\0\2data\0" + bytes(18)), *ROW[2:], pgwire.READY],
+    "cut column": [*pgwire.framed(b"T", b"\0\1data\0" + bytes(9)), *ROW[2:], pgwire.READY],
+    "long value": [*ROW[:2], *pgwire.framed(b"D", b"\0\1\0\1\0\1" + bytes(65537)), *ROW[4:], pgwire.READY],
+    "3 GB": [*ROW[:2], b"D\xb2\xd0\x5e\0\0\1\xb2\xd0\x5d\xfa" + bytes(3000)],
+    "garbage": [b"HTTP/1.1 400 Bad Request\r\n\r\n"],
+    "a length only": [b"T\x7f\xff\xff\xff"],
+}
+
+
+class Heard:
+    """The log, kept."""
+
+    def __init__(self):
+        self.lines = []
+
+    def say(self, kind, text):
+        self.lines.append(f"{kind}: {text}")
+
+
+class Town:
+    """A marshal with one node, discovery and the platform; `trace` is what is compared."""
+
+    def __init__(self, settings=None):
+        self.settings = settings or SETTINGS
+        self.trace, self.node, self.may_fail = [], stand.NodeStand(REPLIES), False
+        self.discovery, self.platform = HttpStand(self.listing), HttpStand(self.told)
+        self.state, self.revision, self.pause = "active", 1, anyio.Event()
+        self.ballot, self.feed = (200, json.dumps(NEWS), True), (200, "{}\n", False)
+
+    def members(self):
+        return json.dumps({"revision": self.revision, "complete": True, "members": [
+            {"id": "s-1", "host_port": self.at["node"], "locality": "a", "flavor": "std", "cell": 0,
+             "phase": self.state, "size": 1.0, "up_since_ms": 0, "revision_no": 7}]})
+
+    async def listing(self, method, target, body):
+        if "after=" in target:
+            with anyio.move_on_after(2.0):
+                await self.pause.wait()
+            self.pause = anyio.Event()
+        return 200, self.members(), True
+
+    async def told(self, method, target, body):
+        return self.feed if target == "/api/feed" else self.ballot
+
+    @contextlib.asynccontextmanager
+    async def open(self):
+        self.at = {}
+        async with anyio.create_task_group() as tasks:
+            self.tasks = tasks
+            for name in ("node", "discovery", "platform"):
+                await self.listen(name)
+            with socket.socket() as free:
+                free.bind(("127.0.0.1", 0))
+                self.at["listen"] = f"127.0.0.1:{free.getsockname()[1]}"
+            self.folder = tempfile.mkdtemp()
+            os.environ["PROXY_CONFIG"] = os.path.join(self.folder, "config.json")
+            self.parts = Parts(json.loads(self.config()))
+            self.parts.report = Heard()
+            for part in (self.parts.driver, self.parts.driver.nodes, self.parts.discovery, self.parts.platform):
+                part.report = self.parts.report
+            self.watch_module()
+            tasks.start_soon(self.parts.run)
+            await self.parts.serving.wait()
+            yield self
+            tasks.cancel_scope.cancel()
+        shutil.rmtree(self.folder)
+        faults = [line for line in self.parts.report.lines if line.startswith("fault")]
+        assert self.may_fail or not faults, faults
+
+    def config(self, **other):
+        return json.dumps({
+            "name": "n1", "listen": self.at["listen"], "discovery": self.at["discovery"], "seed": "5",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
+            "deployer": {"address": self.at["platform"], "news": NEWS},
+            "known": json.loads(self.members()), "settings": self.settings} | other)
+
+    def configure(self, text):
+        with open(os.environ["PROXY_CONFIG"], "w") as file:
+            file.write(text)
+
+    async def move(self):
+        """Discovery and the platform go on at other addresses."""
+        for name in ("discovery", "platform"):
+            await self.listen(name)
+
+    async def listen(self, name):
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        self.at[name] = f"127.0.0.1:{listener.extra(anyio.abc.SocketAttribute.local_port)}"
+        self.tasks.start_soon(listener.serve, getattr(self, name).serve)
+
+    def watch_module(self):
+        """What the module hears of picks, votes and lists goes into the trace."""
+        handle = self.parts.driver.marshal.handle
+
+        def noted(now, event):
+            match event:
+                case ifc.PickEnded():
+                    self.trace.append(f"  module: pick {event.nth} {event.ending.name}"
+                                      + (", final" if event.final else ""))
+                case ifc.RpcGone():
+                    self.trace.append("  module: client gone")
+                case ifc.RolloutNews(reply=True):
+                    self.trace.append(f"  module: vote {event.ending.name}")
+            return handle(now, event)
+
+        self.parts.driver.marshal.handle = noted
+
+    async def client(self, start=True):
+        stream = await anyio.connect_tcp(*address(self.at["listen"]))
+        if start:
+            await stream.send(pgwire.hello("portal", "crm"))
+        return stream, pgwire.Inbound(1 << 20, pgwire.Pool(1 << 22))
+
+    async def answer(self, client, until=b"Z"):
+        """What comes back up to ReadyForQuery or the end, as one line."""
+        stream, inbound = client
+        said = []
+        try:
+            while True:
+                message = inbound.message()
+                if message is None:
+                    into(inbound, await stream.receive())
+                    continue
+                tag, body = message[0], bytes(message[1])
+                if tag == b"E":
+                    fields = {part[:1]: part[1:].decode() for part in body.split(b"\0") if part}
+                    said.append(f"error {fields[b'C']}" + (f" D={fields[b'D']}" if b"D" in fields else ""))
+                elif tag == b"D":
+                    said.append(f"row {body[6:].hex()}")
+                elif tag in (b"I", b"C"):
+                    said.append({b"I": "empty", b"C": "complete"}[tag])
+                if tag == until:
+                    return ", ".join(said) or "ready"
+        except (anyio.EndOfStream, anyio.BrokenResourceError):
+            return ", ".join([*said, "end"])
+
+    async def ask(self, client, word, method="look", wait=1000, number="0a"):
+        kind = "SELECT data FROM facts WHERE code =" if method == "look" else "INSERT INTO facts VALUES"
+        text = f"{kind} '{word}' /* id={number},c={method},d={wait} */"
+        await client[0].send(b"".join(pgwire.query(text.encode())))
+        answer = await self.answer(client)
+        self.trace.append(f"{method} '{word}': {answer}")
+
+
+def played(story):
+    """Play an async story in a town of its own; the trace."""
+    async def play():
+        town = Town()
+        with anyio.fail_after(30):
+            async with town.open():
+                await story(town)
+        return town.trace
+
+    return anyio.run(play)
+
+
+async def until(true):
+    while not true():
+        await anyio.sleep(0.001)
