--- a/brookreach/net/client.py
+++ b/brookreach/net/client.py
@@ -62,7 +62,7 @@
         limits, count = self.home.limits, 0
         while not self.closed and not self.rest and len(self.slots) < limits.pipelined:
             if count == limits.pipelined:
-                self.home.again.append(self)  # others have their turn
+                self.home.resumable.append(self)  # others have their turn
                 break
             count += 1
             if not self.started:
@@ -185,7 +185,7 @@
 
     def _read_on(self) -> None:
         if not self.reading:
-            self.home.again.append(self)
+            self.home.resumable.append(self)
 
     def emptied(self) -> None:
         self.home.stuck.pop(self, None)
--- a/brookreach/net/clients.py
+++ b/brookreach/net/clients.py
@@ -29,7 +29,7 @@
         self.half: OrderedDict[Client, float] = OrderedDict()
         self.stuck: OrderedDict[Client, float] = OrderedDict()
         self.pool = pgwire.Pool(limits.large)
-        self.again: list[Client] = []  # to be looked at again for RPCs that have come already
+        self.resumable: list[Client] = []  # to be looked at again for RPCs that have come already
         self.stopping = self.deaf = False
         self.one_left = anyio.Event()
         self.listener: Listener | None = Listener(poller, at, limits.backlog, self.arrived)
@@ -91,13 +91,13 @@
 
     def catch_up(self) -> bool:
         """Take what came while its connection had enough under way; whether some have still more."""
-        again, self.again = self.again, []
-        for client in again:
+        resumable, self.resumable = self.resumable, []
+        for client in resumable:
             if not client.closed:
                 client.reading = True
                 client.interest()
                 client.ready(0)
-        return bool(self.again)
+        return bool(self.resumable)
 
     async def stop(self) -> None:
         """Take what still comes for a moment, finish what is under way, end the rest between RPCs."""
