--- a/brookreach/net/stream.py
+++ b/brookreach/net/stream.py
@@ -20,6 +20,7 @@
 from .pgwire import BrokenStream, Inbound
 
 IN, OUT = select.EPOLLIN, select.EPOLLOUT
+ENDED = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR  # the other side sends no more
 SLICES = 64  # buffers given to the kernel in one call
 
 
@@ -141,7 +142,9 @@
     def interest(self) -> None:
         """What the epoll is to wake this for."""
         out = OUT if self.rest or self.dialing else 0
-        self.poller.watch(self, out | (IN if self.reading and not self.dialing else 0))
+        # Where nothing is read, bytes would hide the end behind them: the kernel tells it by itself.
+        into = 0 if self.dialing else IN if self.reading else select.EPOLLRDHUP
+        self.poller.watch(self, out | into)
 
     def close(self) -> None:
         if not self.closed:
@@ -179,6 +182,8 @@
                     self.emptied()
             if not mask:
                 self.came()  # to be looked at again
+            elif mask & ENDED and not self.reading:
+                self.broke("end of stream")
             elif mask & ~OUT and not self.closed:
                 count = self.sock.recv_into(self.inbound.space())
                 if count == 0:
--- /dev/null
+++ b/tests/peers_clients.py
@@ -0,0 +1,170 @@
+"""Clients' connections without the driver: real sockets on loopback, and turns that the test makes itself."""
+
+import contextlib
+import dataclasses
+import select
+import socket
+import struct
+import time
+import unittest
+
+from brookreach.net import pgwire
+from brookreach.net.clients import Clients
+from brookreach.net.limits import limits_from
+from brookreach.net.statement import BadStatement
+from brookreach.net.stream import Poller, address
+
+from .helpers import SETTINGS, Heard
+
+HELLO = pgwire.hello("portal", "crm")
+LIMITS = limits_from({"cores": 1.0, "memory_mb": 64, "sockets": 256}, SETTINGS)
+
+
+def query(number, wait_ms=900, word="row"):
+    return b"".join(pgwire.query(b"SELECT '%b' /* id=%d,c=look,d=%d */" % (word.encode(), number, wait_ms)))
+
+
+class Desk:
+    """Takes RPCs as the driver does, by the ids that clients gave them, and answers when the test says so."""
+
+    def __init__(self):
+        self.slots, self.left, self.taken = {}, [], []
+
+    def take(self, statement, slot):
+        if statement.method != b"look":
+            raise BadStatement(b"22023", f"unknown class {statement.method!r}")
+        number = int(statement.name)
+        self.slots[number] = slot
+        self.taken.append(number)
+        return number
+
+    def gone(self, rpc):
+        self.left.append(rpc)
+
+    def answer(self, number, value=None):
+        self.slots.pop(number).answer([row(value or b"%d" % number)])
+
+
+def row(value):
+    return b"".join(pgwire.framed(b"D", value)) + pgwire.READY
+
+
+class Port:
+    """A marshal's listener with its clients; nothing moves but by `turn`."""
+
+    def __init__(self, **other):
+        with socket.socket() as free:
+            free.bind(("127.0.0.1", 0))
+            self.at = f"127.0.0.1:{free.getsockname()[1]}"
+        self.faults, self.desk = [], Desk()
+        self.poller = Poller(64, self.faults.append)
+        self.home = Clients(dataclasses.replace(LIMITS, **other), Heard(), self.poller, self.desk, self.at)
+        self.peers = []
+
+    def turn(self):
+        """What the driver does in one turn; whether there was anything to do."""
+        found = self.poller.turn()
+        return bool(self.home.catch_up()) or bool(found)
+
+    def until(self, true):
+        ends = time.monotonic() + 10.0
+        while not true():
+            assert time.monotonic() < ends, "it never came to that"
+            self.turn()
+
+    def rest(self):
+        """Turns until there is nothing left to do. A socket that wakes us for nothing never lets it end."""
+        for _ in range(2000):
+            if not self.turn():
+                return
+        raise AssertionError("the poller goes round and round")
+
+    def peer(self, data=HELLO, **options):
+        peer = Peer(self, **options)
+        self.peers.append(peer)
+        peer.send(data)
+        return peer
+
+    def ready_peer(self, **options):
+        """One that has been welcomed."""
+        peer = self.peer(**options)
+        peer.hears(pgwire.WELCOME)
+        return peer
+
+    def close(self):
+        for peer in self.peers:
+            peer.sock.close()
+        self.poller.close()
+
+
+class Peer:
+    """A client of the test's."""
+
+    def __init__(self, port, window=0):
+        self.port, self.heard, self.over = port, b"", None
+        self.sock = socket.socket()
+        if window:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, window)
+        self.sock.connect(address(port.at))
+        self.sock.setblocking(False)
+        self.name = self.sock.getsockname()
+
+    @property
+    def client(self):
+        """The marshal's side of it, once it is accepted."""
+        for client in self.port.home.open:
+            with contextlib.suppress(OSError):
+                if client.sock.getpeername() == self.name:
+                    return client
+        return None
+
+    def send(self, data):
+        """Whole, and seen by the kernel on the other side where it has accepted this."""
+        self.sock.setblocking(True)
+        self.sock.sendall(data)
+        self.sock.setblocking(False)
+
+    def unread(self):
+        """Bytes that lie in the marshal's kernel wait there; true once some do."""
+        return bool(select.select([self.client.sock], [], [], 0)[0])
+
+    def look(self):
+        try:
+            while self.over is None:
+                data = self.sock.recv(1 << 16)
+                self.heard += data
+                if not data:
+                    self.over = "FIN"
+        except BlockingIOError:
+            pass
+        except OSError:
+            self.over = "RST"
+
+    def hears(self, wanted):
+        """Turns until exactly these bytes have come."""
+        def whole():
+            self.look()
+            return len(self.heard) >= len(wanted) or self.over
+        self.port.until(whole)
+        assert self.heard[:len(wanted)] == wanted, (self.heard[:400], self.over)
+        self.heard = self.heard[len(wanted):]
+
+    def ends(self):
+        """How its connection ended, with what came before."""
+        def over():
+            self.look()
+            return self.over
+        self.port.until(over)
+        return self.over, self.heard
+
+    def reset(self):
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.sock.close()
+
+
+class PortCase(unittest.TestCase):
+    def port(self, **other):
+        port = Port(**other)
+        self.addCleanup(port.close)
+        self.addCleanup(lambda: self.assertEqual(port.faults, []))
+        return port
