--- a/brookreach/net/client.py
+++ b/brookreach/net/client.py
@@ -52,7 +52,7 @@
         self.slots: deque[Slot] = deque()
         self.started = False  # the startup message has come
         self.skipping = False  # after an error in the extended protocol, until Sync
-        self.leaving = False  # we have ended our side
+        self.leaving = False  # we take no more of it, and end our side once all is answered
         self.faults = 0
         home.silent[self] = time.monotonic()
 
@@ -60,7 +60,10 @@
 
     def came(self) -> None:
         limits, count = self.home.limits, 0
-        while not self.closed and not self.rest and len(self.slots) < limits.pipelined:
+        if self.leaving:  # it crossed our closing: the client sends it again elsewhere
+            self.inbound.head = self.inbound.tail
+            return
+        while not (self.closed or self.leaving or self.rest) and len(self.slots) < limits.pipelined:
             if count == limits.pipelined:
                 self.home.resumable.append(self)  # others have their turn
                 break
@@ -77,9 +80,9 @@
                 if message is None:
                     self._half(count > 1)
                     return
-                if not self.leaving:  # else it crossed our closing: the client sends it again elsewhere
-                    self._message(message[0], message[1])
-        if not self.closed:
+                self._message(message[0], message[1])
+        if not self.closed and not self.leaving:
+            self.home.half.pop(self, None)  # what is half now is so since we stopped reading
             self.reading = False  # enough under way; `flush` or `emptied` goes on reading
             self.interest()
 
@@ -106,7 +109,7 @@
         if tag == b"Q":
             self._query(body)
         elif tag == b"X":
-            self.broke("terminated")
+            self.give_up("terminated")
         elif tag == b"S":
             self.skipping = False
             self._in_order(pgwire.READY)
@@ -130,7 +133,7 @@
         except BadStatement as error:
             self.home.report.say("client", f"statement not taken: {error}")
             self.faults += 1
-            if self.slots or self.faults >= self.home.limits.faults:  # its error would wait, or it goes on
+            if self.faults >= self.home.limits.faults:
                 raise pgwire.BrokenStream("statements that can't be taken") from None
             self._in_order(pgwire.error(error.state, str(error)))
             return
@@ -138,11 +141,38 @@
         self.slots.append(slot)
 
     def broke(self, why: str) -> None:
-        if why.startswith("not the protocol"):
-            self.home.report.say("client", why)
+        if not why.startswith("not the protocol"):
+            self.end()
+            return
+        self.home.report.say("client", why)
+        error = pgwire.error(b"08P01", why, ready=False)
+        if self.slots:  # it comes in its order, behind the answers of what was asked before
+            self._in_order(error)
+        else:
             with contextlib.suppress(OSError):
-                self.send([pgwire.error(b"08P01", why, ready=False)])
-        self.end()
+                self.send([error])
+        self.give_up(why)
+
+    def give_up(self, why: str) -> None:
+        """Take no more of what comes; what was asked before is answered first."""
+        if not self.slots:
+            self.end()
+        elif not self.leaving:
+            self.home.report.say("client", f"{why}: closed behind {len(self.slots)} answers")
+            self._take_no_more()
+
+    def _take_no_more(self) -> None:
+        self.leaving = self.reading = True  # read on: a reset could overtake the last answer
+        self.home.half.pop(self, None)
+        self.inbound.head = self.inbound.tail
+        self.interest()
+        self._end_side()
+
+    def _end_side(self) -> None:
+        if not self.slots and not self.rest:
+            self.end_sending()
+            if not self.home.stopping:  # then it is closed in time, should its client not do it
+                self.home.silent.setdefault(self, time.monotonic())
 
     def end(self) -> None:
         if self.closed:
@@ -178,24 +208,22 @@
             self.home.stuck.setdefault(self, time.monotonic())
         else:
             self._read_on()
-        if not self.slots:
+        if not self.slots and not self.leaving:
             self.home.idle[self] = self.poller.polled
             if self.home.stopping:
                 self.leave()
 
     def _read_on(self) -> None:
-        if not self.reading:
+        if self.leaving:
+            self._end_side()
+        elif not self.reading:
             self.home.resumable.append(self)
 
     def emptied(self) -> None:
         self.home.stuck.pop(self, None)
         self._read_on()
-        if self.leaving:
-            self.end_sending()
 
     def leave(self) -> None:
-        """End our side between RPCs and read on: a reset could overtake the last answer."""
+        """End our side between RPCs."""
         if not self.leaving:
-            self.leaving = True
-            if not self.rest:
-                self.end_sending()
+            self._take_no_more()
--- a/brookreach/net/clients.py
+++ b/brookreach/net/clients.py
@@ -80,11 +80,12 @@
     def sweep(self) -> None:
         """Close what has been silent, half said or stuck for too long, and in a full house what rests."""
         now, limits = time.monotonic(), self.limits
-        rows = [(self.silent, limits.silent_s), (self.half, limits.silent_s), (self.stuck, limits.stuck_s),
-                (self.idle, limits.idle_s)]
+        rows = [(self.silent, limits.silent_s), (self.stuck, limits.stuck_s), (self.idle, limits.idle_s)]
         for row, longest in rows:
             while row and row[next(iter(row))] < now - longest:
-                next(iter(row)).broke("too long")
+                next(iter(row)).end()
+        while self.half and self.half[next(iter(self.half))] < now - limits.silent_s:
+            next(iter(self.half)).give_up("half a message for too long")
         while len(self.open) - len(self.silent) > limits.clients // 2 and self.idle and (
                 self.idle[next(iter(self.idle))] < now - limits.rest_s):
             next(iter(self.idle)).end()
--- a/tests/test_endings_clients.py
+++ b/tests/test_endings_clients.py
@@ -3,7 +3,9 @@
 import socket
 import unittest
 
-from .peers_clients import PortCase, query
+from brookreach.net import pgwire
+
+from .peers_clients import PortCase, query, row
 
 MANY = b"".join(query(number) for number in range(1, 31))
 
@@ -59,5 +61,73 @@
         self.assertEqual((port.desk.left, len(port.home.stuck)), ([2], 0))
 
 
+class BehindTest(PortCase):
+    """What comes behind an RPC that is under way never costs that RPC its answer."""
+
+    def peer(self, *asked, **limits):
+        """Its first RPC is under way, and all of `asked` has been looked at."""
+        port = self.port(**limits)
+        peer = port.ready_peer()
+        peer.send(b"".join([query(1), *asked]))
+        port.until(lambda: port.desk.taken)
+        port.rest()
+        return port, peer
+
+    def ends_behind_one_answer(self, port, peer, *more):
+        port.desk.answer(1)
+        peer.hears(b"".join([row(b"1"), *more]))
+        self.assertEqual((peer.ends(), port.desk.left), (("FIN", b""), []))
+        port.home.sweep()
+        self.assertEqual(len(port.home.open), 0)
+
+    def test_a_statement_that_cannot_be_taken(self):
+        unknown = b"".join(pgwire.query(b"SELECT 1 /* id=2,c=none,d=9 */"))
+        port, peer = self.peer(unknown, query(3))
+        self.assertEqual(port.desk.taken, [1, 3])
+        port.desk.answer(3)
+        port.desk.answer(1)
+        peer.hears(row(b"1") + pgwire.error(b"22023", "unknown class b'none'") + row(b"3"))
+        self.assertEqual(port.desk.left, [])
+
+    def test_bytes_that_are_not_the_protocol(self):
+        port, peer = self.peer(b"?\0\0\0\4", query(2), silent_s=-1.0)
+        self.assertEqual(port.desk.taken, [1])
+        why = "not the protocol: unknown message b'?'"
+        self.ends_behind_one_answer(port, peer, pgwire.error(b"08P01", why, ready=False))
+
+    def test_a_length_that_is_none(self):
+        port, peer = self.peer(b"Q\xff\xff\xff\xff", silent_s=-1.0)
+        peer.send(bytes(5000))  # it goes on
+        port.rest()
+        why = "not the protocol: a message of length -1"
+        self.ends_behind_one_answer(port, peer, pgwire.error(b"08P01", why, ready=False))
+
+    def test_terminate(self):
+        port, peer = self.peer(pgwire.TERMINATE, query(2), silent_s=-1.0)
+        self.assertEqual(port.desk.taken, [1])
+        self.ends_behind_one_answer(port, peer)
+
+    def test_terminate_and_a_close(self):
+        port, peer = self.peer(pgwire.TERMINATE)
+        peer.sock.close()
+        port.until(lambda: not port.home.open)
+        self.assertEqual(port.desk.left, [1])
+
+    def test_half_a_message_for_too_long(self):
+        port, peer = self.peer(query(2)[:9], silent_s=-1.0)
+        self.assertEqual(len(port.home.half), 1)
+        port.home.sweep()
+        self.ends_behind_one_answer(port, peer)
+
+    def test_half_a_message_that_became_whole_before_we_stopped_reading(self):
+        port, peer = self.peer(query(2)[:9], silent_s=-1.0)
+        peer.send(query(2)[9:] + b"".join(query(at) for at in range(3, 9)))
+        port.until(lambda: len(port.desk.taken) == 8)
+        port.home.sweep()
+        for number in range(1, 9):
+            port.desk.answer(number)
+        peer.hears(b"".join(row(b"%d" % number) for number in range(1, 9)))
+
+
 if __name__ == "__main__":
     unittest.main()
