--- a/brookreach/net/clients.py
+++ b/brookreach/net/clients.py
@@ -29,7 +29,7 @@
         self.half: OrderedDict[Client, float] = OrderedDict()
         self.stuck: OrderedDict[Client, float] = OrderedDict()
         self.pool = pgwire.Pool(limits.large)
-        self.again: list[Client] = []  # to be looked at again for RPCs that have come already
+        self.resumable: list[Client] = []  # to be looked at again for RPCs that have come already
         self.stopping = self.deaf = False
         self.one_left = anyio.Event()
         self.listener: Listener | None = Listener(poller, at, limits.backlog, self.arrived)
@@ -80,24 +80,25 @@
     def sweep(self) -> None:
         """Close what has been silent, half said or stuck for too long, and in a full house what rests."""
         now, limits = time.monotonic(), self.limits
-        rows = [(self.silent, limits.silent_s), (self.half, limits.silent_s), (self.stuck, limits.stuck_s),
-                (self.idle, limits.idle_s)]
+        rows = [(self.silent, limits.silent_s), (self.stuck, limits.stuck_s), (self.idle, limits.idle_s)]
         for row, longest in rows:
             while row and row[next(iter(row))] < now - longest:
-                next(iter(row)).broke("too long")
+                next(iter(row)).end()
+        while self.half and self.half[next(iter(self.half))] < now - limits.silent_s:
+            next(iter(self.half)).give_up("half a message for too long")
         while len(self.open) - len(self.silent) > limits.clients // 2 and self.idle and (
                 self.idle[next(iter(self.idle))] < now - limits.rest_s):
             next(iter(self.idle)).end()
 
     def catch_up(self) -> bool:
         """Take what came while its connection had enough under way; whether some have still more."""
-        again, self.again = self.again, []
-        for client in again:
+        resumable, self.resumable = self.resumable, []
+        for client in resumable:
             if not client.closed:
                 client.reading = True
                 client.interest()
                 client.ready(0)
-        return bool(self.again)
+        return bool(self.resumable)
 
     async def stop(self) -> None:
         """Take what still comes for a moment, finish what is under way, end the rest between RPCs."""
