--- a/brookreach/desk.py
+++ b/brookreach/desk.py
@@ -8,7 +8,7 @@
     Start)
 from brookreach.judge import Judge
 from brookreach.parts import Due, Ring, Rpc
-from brookreach.roster import CARRIED_MS, ERRING, SILENT, Roster, may_go, may_have_run
+from brookreach.roster import CARRIED_MS, ERRING, SILENT, Roster, may_go, may_have_run, window_ms
 
 HARMLESS = {*((Repeat.IDEMPOTENT, group) for group in Group), (Repeat.TOKENED, Group.ALL)}  # run twice
 HOLD_MS, FEW, MORE = 50.0, 2, 12  # nodes drawn for an RPC at first, and when none of the few can take it
@@ -21,12 +21,11 @@
 
     def __init__(self, due: Due, out: list[Action], start: Start, now: float, judge: Judge):
         super().__init__(due, out, start, now, judge)
-        self.methods, self.rpcs = start.methods, dict[int, Rpc]()
+        self.methods, self.rpcs, self.waiting = start.methods, dict[int, Rpc](), dict[int, float]()
         self.usual_ms, self.usual_cost = [m.soft_ms / 5.0 for m in start.methods], dict[int, float]()
         self.rate, self.carried = 0.0, Ring(CARRIED_MS, 16)  # cost a ms and unit of size, of warm nodes
         self.spare, self.usual, self.suspect = 1.0, FLOOR, True  # spare: second copies
         self.flow, self.good = Ring(1000.0, 10), Ring(PACE_MS, 8)  # taken; answered in time
-        self.waiting = dict[int, float]()  # soft deadlines
 
     def taken_in(self, now: float, event: RpcTaken) -> None:
         rpc = self.rpcs[event.rpc] = Rpc(now, event, self.methods[event.method])
@@ -84,19 +83,21 @@
         if not well and rpc.drawn == FEW and self.field:
             self.tell("ask", now, rpc, MORE)
         elif rpc.bids:
-            far = 1.0 + 8.0 * self.prices.cross_zone
-            some = (well or rpc.bids)[:2 * FEW]
+            far, some = 1.0 + 8.0 * self.prices.cross_zone, (well or rpc.bids)[:2 * FEW]
             self.send(now, rpc, min(some, key=lambda b: (
                 b[2] * (1.0 if b[0].zone == self.place.zone else far)))[0])
         elif not rpc.pending():
             self.hold(now, rpc)
 
     def send(self, now: float, rpc: Rpc, entry: NodeEntry) -> None:
+        write_ms = window_ms(rpc, now)
         rpc.picks.append([entry, now, None])
-        if on_trial(self.news, entry.build):
-            self.ring(rpc.method, entry.build).add(now)
+        if on_trial(self.news, entry.build):  # written late, it falls into a window that later ones fill
+            ring = self.ring(rpc.method, entry.build)
+            ring.add(now)
+            write_ms = min(write_ms, ring.width)
         self.nodes[entry.node].tell("took", now, rpc.cost or self.usual_ms[rpc.method])
-        self.acts.append(Pick(rpc.id, entry.node, rpc.end - now - 5.0))
+        self.acts.append(Pick(rpc.id, entry.node, rpc.end - now - 5.0, write_ms))
         if len(rpc.picks) == 1 and self.permits.second_copies and rpc.facts.repeat == Repeat.IDEMPOTENT:
             after = max(3.0 * self.typical(rpc), 0.25 * rpc.facts.soft_ms)
             self.acts.append(SetTimer(after, 4 * rpc.id + RPC_COPY))
@@ -138,9 +139,8 @@
         rpc = self.rpcs.get(event.rpc)
         if rpc is None or event.nth >= len(rpc.picks):
             return
-        pick = rpc.picks[event.nth]
+        pick, typical = rpc.picks[event.nth], self.typical(rpc)
         entry, pick[2] = pick[0], event.ending
-        typical = self.typical(rpc)
         long = self.long(now, typical, rpc.facts.soft_ms, entry.build)
         self.nodes[entry.node].tell("ended", now, event, entry, pick[1], typical, long, self.usual)
         if event.ending == Ending.OK:
--- a/brookreach/interface.py
+++ b/brookreach/interface.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import IntEnum
@@ -335,9 +336,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Pick:
+    """One RPC to one node. Past `write_ms` the query's last byte may not be written any more: the pick ends
+    as one that never ran."""
+
     rpc: int
     node: int
     wait_ms: float
+    write_ms: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
--- a/brookreach/net/link.py
+++ b/brookreach/net/link.py
@@ -66,14 +66,14 @@
 
 
 class InFlight(Expiring):
-    """A pick that has no outcome yet, or a probe (`rpc` 0)."""
+    """A pick that has no outcome yet, or a probe (`rpc` 0). Its last byte is written within `write_ms`."""
 
-    def __init__(self, home: Nodes, endpoint: Endpoint, rpc: int, nth: int, wait_ms: float,
+    def __init__(self, home: Nodes, endpoint: Endpoint, rpc: int, nth: int, wait_ms: float, write_ms: float,
                  statement: Statement | None) -> None:
         self.home, self.endpoint, self.rpc, self.nth, self.statement = home, endpoint, rpc, nth, statement
         self.node, self.epoch = endpoint.listed.entry.node, endpoint.epoch
         self.began = time.monotonic()
-        self.until = self.began + wait_ms / 1000.0
+        self.until, self.write_until = self.began + wait_ms / 1000.0, self.began + write_ms / 1000.0
         self.link: Link | None = None
         self.done = False
 
@@ -82,6 +82,11 @@
             return list(PROBE)
         return self.statement.passed_on((self.until - time.monotonic()) * 1000.0)
 
+    def too_late(self) -> bool:
+        """Whether what made this pick right when it was decided has gone: listing, cap, window or client."""
+        return (self.epoch != self.endpoint.epoch or time.monotonic() >= self.write_until
+                or not self.home.may_write(self))
+
     def expire(self) -> None:
         if self.link is not None and not self.done:
             self.link.ready(IN)  # in a long turn its answer may have come, and not been looked at
@@ -111,6 +116,18 @@
             self.home.owner.put(PickOutcome(self.rpc, self.nth, self.node, ending, took, answer))
 
 
+class HalfWritten(Expiring):
+    """When a query's time for being written is over: what the node has of it is then never made whole."""
+
+    def __init__(self, flight: InFlight) -> None:
+        self.flight = flight
+
+    def expire(self) -> None:
+        link = self.flight.link
+        if link is not None and link.at == ASKING and not link.written():
+            self.flight.stop(Ending.MOOT)
+
+
 class Link(Stream):
     """One connection to a node."""
 
@@ -146,7 +163,7 @@
             flight = self.flight
             if flight is None or flight.done:
                 self.park()
-            elif flight.epoch != self.endpoint.epoch or not self.home.may_write(flight):
+            elif flight.too_late():
                 self.park()
                 flight.end(Ending.MOOT, [])
             else:
--- a/brookreach/net/nodes.py
+++ b/brookreach/net/nodes.py
@@ -12,7 +12,7 @@
 
 from . import pgwire
 from .limits import Limits
-from .link import Ending, Endpoint, InFlight, Link, Listed, Owner, PickOutcome
+from .link import Ending, Endpoint, HalfWritten, InFlight, Link, Listed, Owner, PickOutcome
 from .report import Report
 from .statement import Statement
 from .stream import Poller
@@ -69,9 +69,11 @@
         if endpoint is None:
             self.owner.put(PickOutcome(pick.rpc, nth, pick.node, Ending.MOOT, 0.0, []))
             return
-        flight = InFlight(self, endpoint, pick.rpc, nth, pick.wait_ms, statement)
+        flight = InFlight(self, endpoint, pick.rpc, nth, pick.wait_ms, pick.write_ms, statement)
         self.in_flight[pick.rpc, nth] = flight
         self.owner.alarm(pick.wait_ms, flight)
+        if pick.write_ms < pick.wait_ms:
+            self.owner.alarm(pick.write_ms, HalfWritten(flight))
         self._start(flight)
 
     def cancel(self, rpc: int, nth: int) -> None:
@@ -82,8 +84,9 @@
     def probe(self, node: int) -> None:
         endpoint = self.endpoints.get(node)
         if endpoint is not None:
-            flight = InFlight(self, endpoint, 0, 0, self.limits.dial_s * 1000.0, None)
-            self.owner.alarm(self.limits.dial_s * 1000.0, flight)
+            wait_ms = self.limits.dial_s * 1000.0
+            flight = InFlight(self, endpoint, 0, 0, wait_ms, wait_ms, None)
+            self.owner.alarm(wait_ms, flight)
             self._start(flight)
 
     def close_idle(self, node: int) -> None:
--- a/brookreach/roster.py
+++ b/brookreach/roster.py
@@ -23,16 +23,19 @@
     return [pick for pick in rpc.picks if pick[2] not in NEVER_RAN]
 
 
+def window_ms(rpc: Rpc, now: float) -> float:
+    """How much longer a further pick of a tokened RPC may be written."""
+    tokened = rpc.facts.repeat == Repeat.TOKENED
+    return min([sent + rpc.facts.token_ms - now for _, sent, _ in may_have_run(rpc) if tokened] or [math.inf])
+
+
 def may_go(rpc: Rpc, entry: NodeEntry, now: float, copies: bool) -> bool:
     """Whether the method's kind lets this RPC have a pick at this node now."""
-    ran = may_have_run(rpc)
-    if not ran:
-        return True
-    if rpc.facts.repeat == Repeat.NON_IDEMPOTENT or (rpc.pending() and not copies):
+    ran, group = may_have_run(rpc), rpc.facts.group
+    if ran and (rpc.facts.repeat == Repeat.NON_IDEMPOTENT or (rpc.pending() and not copies)):
         return False
-    group, window = rpc.facts.group, rpc.facts.token_ms
-    return rpc.facts.repeat == Repeat.IDEMPOTENT or all(now < sent + window and (group == Group.ALL or (
-        entry.zone == old.zone and (group == Group.ZONE or entry.cell == old.cell))) for old, sent, _ in ran)
+    return rpc.facts.repeat == Repeat.IDEMPOTENT or (window_ms(rpc, now) > 0.0 and all(group == Group.ALL or (
+        entry.zone == old.zone and (group == Group.ZONE or entry.cell == old.cell)) for old, _, _ in ran))
 
 
 class Node(Part):
@@ -47,8 +50,7 @@
         self.renew(entry)
 
     def renew(self, entry: NodeEntry) -> None:
-        self.entry = entry
-        self.slow = 2.0 if entry.started_ms else 1.0  # a cold node's build may need more work
+        self.entry, self.slow = entry, 2.0 if entry.started_ms else 1.0  # a cold node's build may need more
         self.shy_until, self.shy_ms, self.doubt, self.ails = 0.0, 0.0, 0.0, WELL
         self.room, self.room_at, self.tried, self.failed = 0.0, 0.0, 0.0, 0.0  # of the last 20 picks or so
 
--- /dev/null
+++ b/tests/peers_nodes.py
@@ -0,0 +1,235 @@
+"""Nodes that do what a test says, byte by byte, and what picks at them: all in one thread, by real sockets.
+
+Nothing here waits for a time: `until` turns the poller until a state is there, and fails after 10 s.
+"""
+
+import heapq
+import socket
+import struct
+import time
+from dataclasses import replace
+
+from brookreach import interface as ifc
+from brookreach.drills.stand import ROW, WORDS
+from brookreach.net import pgwire
+from brookreach.net.driver import Clock, Driver
+from brookreach.net.limits import limits_from
+from brookreach.net.link import Listed, PickOutcome
+from brookreach.net.nodes import Nodes
+from brookreach.net.statement import statement
+from brookreach.net.stream import Poller
+
+from .helpers import SETTINGS, Heard, start
+
+SELECTED = b"".join([*ROW, pgwire.READY])
+INSERTED = SELECTED.replace(WORDS[0], WORDS[1])
+FULL = pgwire.error(b"53300", "queue full")
+FAILED = pgwire.error(b"XX000", "no")
+
+
+def row(value):
+    """A whole answer that holds this value, ready behind it."""
+    body = b"\0\1" + struct.pack("!i", len(value)) + value
+    return b"".join([*ROW[:2], *pgwire.framed(b"D", body), *ROW[4:], pgwire.READY])
+
+
+def asked(write=False, number=1, wait=3000, method="look", code="7f"):
+    kind = "INSERT INTO facts VALUES" if write else "SELECT data FROM facts WHERE code ="
+    text = f"{kind} '{code}' /* id={number:x},c={method},d={wait} */"
+    return statement(memoryview(text.encode()), 512)
+
+
+class Turned:
+    """What has a poller: turns it until something is so."""
+
+    def turn(self):
+        raise NotImplementedError
+
+    def until(self, true):
+        end = time.monotonic() + 10.0
+        while not true():
+            assert time.monotonic() < end, "it never came to that"
+            self.turn()
+
+
+class Peer:
+    """A node's address; connections are taken one by one."""
+
+    def __init__(self, turned, number=1, backlog=64):
+        self.turned, self.number = turned, number
+        self.sock = socket.socket()
+        self.sock.bind(("127.0.0.1", 0))
+        self.sock.listen(backlog)
+        self.sock.setblocking(False)
+        self.taken = []
+
+    def listed(self, build=1, state=ifc.NodeState.READY, zone=0, cell=0, started=0.0):
+        entry = ifc.NodeEntry(self.number, state, started, build, zone, cell, 0, 1.0)
+        return Listed(entry, self.sock.getsockname())
+
+    def came(self):
+        """The next connection, or None while there is none."""
+        try:
+            sock = self.sock.accept()[0]
+        except BlockingIOError:
+            return None
+        self.taken.append(Connection(self.turned, sock))
+        return self.taken[-1]
+
+    def taken_one(self, welcome=True):
+        """The next connection, once its startup message is whole; `welcome` it."""
+        found = []
+        self.turned.until(lambda: found or found.extend(filter(None, [self.came()])))
+        one = found[0]
+        self.turned.until(one.started)
+        if welcome:
+            one.send(pgwire.WELCOME)
+        return one
+
+    def close(self):
+        self.sock.close()
+        for one in self.taken:
+            one.sock.close()
+
+
+class Connection:
+    """The node's end of one connection."""
+
+    def __init__(self, turned, sock):
+        self.turned, self.sock = turned, sock
+        self.data, self.ended, self.start = b"", False, False
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def read(self):
+        try:
+            part = self.sock.recv(1 << 16)
+        except BlockingIOError:
+            return
+        except OSError:
+            part = b""
+        self.ended = self.ended or not part
+        self.data += part
+
+    def started(self):
+        if not self.start:
+            self.read()
+            self.start = len(self.data) >= 4 and len(self.data) >= int.from_bytes(self.data[:4], "big")
+            if self.start:
+                self.data = self.data[int.from_bytes(self.data[:4], "big"):]
+        return self.start
+
+    def queries(self):
+        """The texts of the whole queries that have come."""
+        self.read()
+        out, rest = [], self.data
+        while len(rest) >= 5 and len(rest) > (length := int.from_bytes(rest[1:5], "big")):
+            out.append(rest[5:length])
+            rest = rest[1 + length:]
+        return out
+
+    def asked(self, count=1):
+        self.turned.until(lambda: len(self.queries()) >= count)
+
+    def send(self, data):
+        self.sock.sendall(data)
+
+    def reset(self):
+        """End it with RST, not FIN."""
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.sock.close()
+
+    def left(self):
+        """Until the marshal has ended its side."""
+        self.turned.until(lambda: self.read() or self.ended)
+
+
+class Rig(Turned):
+    """Picks with no module: what each ended as is in `ended`, by (RPC, nth)."""
+
+    def __init__(self, **other):
+        self.limits = replace(limits_from({"cores": 1, "memory_mb": 192, "sockets": 256}, SETTINGS), **other)
+        self.report, self.faults, self.alarms, self.ended, self.unwanted = Heard(), [], [], {}, set()
+        self.poller = Poller(64, self.faults.append)
+        self.nodes = Nodes(self.limits, self.report, self.poller, self)
+        self.peer = Peer(self)
+        self.nodes.listing(ifc.ListKind.FULL, [self.peer.listed()])
+
+    def put(self, event):
+        if isinstance(event, PickOutcome):
+            assert (event.rpc, event.nth) not in self.ended, "two outcomes of one pick"
+            self.ended[event.rpc, event.nth] = event
+
+    def wanted(self, rpc):
+        return rpc not in self.unwanted
+
+    def alarm(self, delay_ms, what):
+        heapq.heappush(self.alarms, (time.monotonic() + delay_ms / 1000.0, len(self.alarms), id(what), what))
+
+    def turn(self):
+        self.poller.turn()
+        while self.alarms and self.alarms[0][0] <= time.monotonic():
+            heapq.heappop(self.alarms)[3].expire()
+
+    def pick(self, rpc, nth=0, write=False, wait_ms=3000.0, code="7f", **more):
+        self.nodes.pick(ifc.Pick(rpc, 1, wait_ms, **more), nth, asked(write, rpc, code=code))
+
+    def ending(self, rpc, nth=0):
+        self.until(lambda: (rpc, nth) in self.ended)
+        return self.ended[rpc, nth].ending
+
+    def idle(self):
+        """How many connections stand idle."""
+        return len(self.nodes.endpoints[1].idle)
+
+    def link(self):
+        """The only connection to the node that stands."""
+        return next(one for one in self.poller.watched.values() if getattr(one, "endpoint", None))
+
+    def close(self):
+        self.poller.close()
+        self.peer.close()
+        assert not self.faults, self.faults
+
+
+class Whole(Turned):
+    """A driver with its module, and so many nodes; `answers` are the clients', by RPC."""
+
+    def __init__(self, methods, peers=2, caps=(1.0,), window_ms=400.0, free=2.0, dial_ms=250.0, **other):
+        facts = start(methods=methods, caps=caps, free=free, **other)
+        facts = replace(facts, exposure=replace(facts.exposure, window_ms=window_ms))
+        limits = limits_from({"cores": 1, "memory_mb": 192, "sockets": 512}, SETTINGS)
+        self.report, self.answers, self.faults = Heard(), {}, []
+        self.poller = Poller(64, self.faults.append)
+        self.driver = Driver(facts, replace(limits, dial_s=dial_ms / 1000.0), self.report, Clock(), self.poller)
+        self.peers = [Peer(self, number) for number in range(1, peers + 1)]
+        self.driver.begin()
+
+    def listing(self, listed, news):
+        self.driver.told(ifc.NodeList(ifc.ListKind.FULL, 1, tuple(one.entry for one in listed)), listed)
+        self.driver.put(news)
+        self.turn()
+
+    def turn(self):
+        self.poller.turn()
+        self.driver._work()
+
+    def take(self, number, method, wait=3000, write=False):
+        return self.driver.take(asked(write, number, wait, method), Answered(self.answers, number))
+
+    def close(self):
+        self.poller.close()
+        for peer in self.peers:
+            peer.close()
+        assert not self.faults and not [line for line in self.report.lines if line.startswith("fault")]
+
+
+class Answered:
+    """A client's slot."""
+
+    def __init__(self, answers, number):
+        self.answers, self.number = answers, number
+
+    def answer(self, buffers):
+        assert self.number not in self.answers, "two answers"
+        self.answers[self.number] = b"".join(buffers)
--- /dev/null
+++ b/tests/test_endings_picks.py
@@ -0,0 +1,145 @@
+"""What made a pick right may be over when it can be written; an answer may belong to the pick before it."""
+
+import time
+import unittest
+from contextlib import closing
+from dataclasses import replace
+
+from brookreach import interface as ifc
+from brookreach.net import pgwire
+
+from .helpers import TOKEN, method
+from .peers_nodes import SELECTED, Rig, Whole
+
+TOKENED = (replace(method(TOKEN, name="look"), token_ms=150.0),)
+RELEASED = ifc.RolloutNews(False, ifc.Ending.OK, 2, 1.0, ifc.Phase.RELEASED, 0.0, 1)
+
+
+def connected(whole):
+    """The next connection that any node gets, asked nothing yet."""
+    found = []
+
+    def came():
+        found.extend(one for one in (peer.came() for peer in whole.peers) if one is not None)
+        return found
+
+    whole.until(came)
+    whole.until(found[0].started)
+    return found[0]
+
+
+class WindowTest(unittest.TestCase):
+    def repeat(self, after_ms):
+        """A tokened RPC, reset by one node; the other welcomes so long after the first was decided."""
+        with closing(Whole(TOKENED)) as whole:
+            whole.listing([peer.listed() for peer in whole.peers], RELEASED)
+            decided = time.monotonic()
+            whole.take(1, "look")
+            first = connected(whole)
+            first.send(pgwire.WELCOME)
+            first.asked()
+            first.reset()
+            second = connected(whole)
+            whole.until(lambda: time.monotonic() >= decided + after_ms / 1000.0)
+            second.send(pgwire.WELCOME)
+            if after_ms == 0.0:
+                second.asked()
+                second.send(SELECTED)
+            whole.until(lambda: whole.answers)
+            return len(second.queries()), whole.answers[1][:1]
+
+    def test_a_tokened_repeat_is_not_written_past_its_window(self):
+        self.assertEqual(self.repeat(200.0)[0], 0)
+
+    def test_within_its_window_it_is(self):
+        self.assertEqual(self.repeat(0.0), (1, b"T"))
+
+    def test_half_of_a_query_is_never_made_whole_past_the_window(self):
+        with closing(Rig()) as rig:
+            rig.pick(1, code="7" * 20_000_000, write_ms=60.0)  # more than the kernel takes at once
+            node = rig.peer.taken_one()
+            rig.until(lambda: rig.link().at == 3)
+            self.assertFalse(rig.link().written())
+            self.assertEqual(rig.ending(1), ifc.Ending.MOOT)
+            node.left()
+            self.assertEqual(node.queries(), [])
+
+    def test_a_whole_query_is_not_ended_by_the_window(self):
+        with closing(Rig()) as rig:
+            rig.pick(1, write_ms=30.0)
+            node = rig.peer.taken_one()
+            node.asked()
+            rig.until(lambda: rig.alarms[0][0] > time.monotonic() + 1.0)  # its time to be written is over
+            node.send(SELECTED)
+            self.assertEqual(rig.ending(1), ifc.Ending.OK)
+
+
+class TrialTest(unittest.TestCase):
+    def test_slow_connections_don_t_bring_two_windows_of_attempts_into_one(self):
+        """Twelve picks are decided at the start of a window; their node welcomes no one. In the next window
+        twelve more are. Then it welcomes all at once: 26 whole queries are more than 12, 4%, and 2 pass."""
+        free, window_ms = 12.0, 400.0
+        facts = {"caps": (0.01, 1.0), "free": free, "window_ms": window_ms, "dial_ms": 3000.0, "peers": 1}
+        with closing(Whole((method(name="look"),), **facts)) as whole:
+            news = ifc.RolloutNews(False, ifc.Ending.OK, 0, 0.01, ifc.Phase.ON_TRIAL, 0.0, 2)
+            whole.listing([whole.peers[0].listed(build=2)], news)
+            began = time.monotonic()
+            whole.until(lambda: time.monotonic() > began + 1.1 * window_ms / 1000.0)  # free ones are spent before
+            for start in (0, 100):
+                then = time.monotonic()
+                for number in range(start + 1, start + 21):
+                    whole.take(number, "look")
+                whole.turn()
+                if start == 0:
+                    whole.until(lambda then=then: time.monotonic() > then + 1.1 * window_ms / 1000.0)
+            peer = whole.peers[0]
+            whole.until(lambda: peer.came() is None and len(peer.taken) >= 2 * free)
+            whole.until(lambda: all(one.started() for one in peer.taken))
+            for one in peer.taken:
+                one.send(pgwire.WELCOME)
+            links = whole.driver.nodes
+            whole.until(lambda: all(flight.link is None or flight.link.at >= 2 for flight in links.in_flight.values()))
+            attempts = sum(len(one.queries()) for one in peer.taken)
+            self.assertGreater(attempts, 0)
+            self.assertLessEqual(attempts, free + 1.04 * 0.01 * 40 + 2.0)
+
+
+class ConnectingTest(unittest.TestCase):
+    def met(self, change, ending=ifc.Ending.MOOT):
+        """What changes while a pick's connection is coming up: the query is not written."""
+        with closing(Rig()) as rig:
+            rig.pick(1, write=True)
+            node = rig.peer.taken_one(welcome=False)
+            change(rig)
+            node.send(pgwire.WELCOME)
+            self.assertEqual(rig.ending(1), ending)
+            self.assertEqual(node.queries(), [])
+
+    def test_a_drain(self):
+        self.met(lambda rig: rig.nodes.listing(
+            ifc.ListKind.DELTA, [rig.peer.listed(state=ifc.NodeState.DRAINING)]))
+
+    def test_a_node_removed(self):
+        self.met(lambda rig: rig.nodes.listing(ifc.ListKind.FULL, []))
+
+    def test_another_process_at_the_same_address(self):
+        self.met(lambda rig: rig.nodes.listing(ifc.ListKind.DELTA, [rig.peer.listed(started=1.0)]))
+
+    def test_a_lower_cap(self):
+        self.met(lambda rig: rig.nodes.cap_fell(1))
+
+    def test_the_clients_leaving_or_another_answer(self):
+        self.met(lambda rig: rig.unwanted.add(1))
+
+    def test_a_cancel(self):
+        self.met(lambda rig: rig.nodes.cancel(1, 0))
+
+    def test_half_of_a_query_at_its_cancel_never_ran(self):
+        with closing(Rig()) as rig:
+            rig.pick(1, write=True, code="7" * 20_000_000)
+            node = rig.peer.taken_one()
+            rig.until(lambda: rig.link().at == 3)
+            rig.nodes.cancel(1, 0)
+            self.assertEqual(rig.ending(1), ifc.Ending.MOOT)
+            node.left()
+            self.assertEqual(node.queries(), [])
