A second answer that comes late is never the next pick's

Seen: a node may send a whole answer twice, the second some milliseconds late. The connection was idle, and taken again, as soon as the first was whole; the copy was then read as the next pick's answer: another RPC's value as ok, or a copied 53300 as proof that a non-idempotent RPC never ran, which would run twice. Also one byte of a copy that came while the connection was idle stayed in its buffer (Link.came only looked at whole messages, Stream.quiet only at the socket), and the rest of the copy was read as the next answer.

Change: Pick carries `rest_ms`: it goes over no connection whose last answer is younger (policy: 30 ms). The last used that has rested is taken, else a new one. Any byte on an idle connection ends it. What remains: a copy that comes later than that, on a connection that was taken meanwhile.

--- a/brookreach/desk.py
+++ b/brookreach/desk.py
@@ -12,7 +12,7 @@
 
 HARMLESS = {*((Repeat.IDEMPOTENT, group) for group in Group), (Repeat.TOKENED, Group.ALL)}  # run twice
 HOLD_MS, FEW, MORE = 50.0, 2, 12  # nodes drawn for an RPC at first, and when none of the few can take it
-PACE_MS, LEAST, PRESSED = 2000.0, 6, 0.6  # answers a second; RPCs at a time, and of a soft deadline
+REST_MS, PACE_MS, LEAST, PRESSED = 30.0, 2000.0, 6, 0.6  # answers a second; RPCs, and of a soft deadline
 RPC_END, RPC_COPY, BEAT, RPC_HELD = 0, 1, 2, 3  # what a timer is for; its token is 4 x RPC + one of these
 
 
@@ -97,7 +97,7 @@
             ring.add(now)
             write_ms = min(write_ms, ring.width)
         self.nodes[entry.node].tell("took", now, rpc.cost or self.usual_ms[rpc.method])
-        self.acts.append(Pick(rpc.id, entry.node, rpc.end - now - 5.0, write_ms))
+        self.acts.append(Pick(rpc.id, entry.node, rpc.end - now - 5.0, write_ms, REST_MS))
         if len(rpc.picks) == 1 and self.permits.second_copies and rpc.facts.repeat == Repeat.IDEMPOTENT:
             after = max(3.0 * self.typical(rpc), 0.25 * rpc.facts.soft_ms)
             self.acts.append(SetTimer(after, 4 * rpc.id + RPC_COPY))
--- a/brookreach/interface.py
+++ b/brookreach/interface.py
@@ -337,12 +337,13 @@
 @dataclass(frozen=True, slots=True)
 class Pick:
     """One RPC to one node. Past `write_ms` the query's last byte may not be written any more: the pick ends
-    as one that never ran."""
+    as one that never ran. It goes over no connection whose last answer is less than `rest_ms` old."""
 
     rpc: int
     node: int
     wait_ms: float
     write_ms: float = math.inf
+    rest_ms: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/brookreach/net/link.py
+++ b/brookreach/net/link.py
@@ -146,11 +146,11 @@
         self.send([HELLO])
 
     def came(self) -> None:
+        if self.at == IDLE:  # be it only the first byte: the rest would be read as the next pick's answer
+            raise pgwire.BrokenStream("bytes that nothing asked for")
         while not self.closed and (message := self.inbound.message()) is not None:
             if self.at == WELCOMING:
                 self._welcome(message[0], message[1])
-            elif self.at == IDLE:
-                raise pgwire.BrokenStream("a message that nothing asked for")
             else:
                 self.result.message(message[0], message[1])
                 if self.at == ASKING and self.result.verdict is not None:
--- a/brookreach/net/nodes.py
+++ b/brookreach/net/nodes.py
@@ -74,7 +74,7 @@
         self.owner.alarm(pick.wait_ms, flight)
         if pick.write_ms < pick.wait_ms:
             self.owner.alarm(pick.write_ms, HalfWritten(flight))
-        self._start(flight)
+        self._start(flight, pick.rest_ms)
 
     def cancel(self, rpc: int, nth: int) -> None:
         flight = self.in_flight.get((rpc, nth))
@@ -87,7 +87,7 @@
             wait_ms = self.limits.dial_s * 1000.0
             flight = InFlight(self, endpoint, 0, 0, wait_ms, wait_ms, None)
             self.owner.alarm(wait_ms, flight)
-            self._start(flight)
+            self._start(flight, wait_ms)
 
     def close_idle(self, node: int) -> None:
         endpoint = self.endpoints.get(node)
@@ -96,15 +96,24 @@
 
     # --- connections ---
 
-    def _start(self, flight: InFlight) -> None:
-        """By an idle connection that still stands, or by a new one."""
+    def _rested(self, endpoint: Endpoint, rest_ms: float) -> Link | None:
+        """An idle connection that still stands, on which no second copy of its last answer is to come."""
+        silent_since = time.monotonic() - rest_ms / 1000.0
+        for link in reversed(list(endpoint.idle)):
+            if link.parked_at <= silent_since:
+                endpoint.idle.remove(link)
+                if link.quiet():
+                    return link
+                link.drop()
+        return None
+
+    def _start(self, flight: InFlight, rest_ms: float) -> None:
+        """By an idle connection that is fit for it, or by a new one."""
         endpoint = flight.endpoint
-        while endpoint.idle:
-            link = endpoint.idle.pop()
-            if link.quiet():
-                link.ask(flight)
-                return
-            link.drop()
+        link = self._rested(endpoint, rest_ms)
+        if link is not None:
+            link.ask(flight)
+            return
         if self.links >= self.limits.links and not self._spare_one():
             self.report.say("nodes", f"all {self.limits.links} connections are taken: picks are not sent")
             flight.end(Ending.MOOT, [])
--- a/tests/test_endings_picks.py
+++ b/tests/test_endings_picks.py
@@ -1,15 +1,17 @@
 """What made a pick right may be over when it can be written; an answer may belong to the pick before it."""
 
+import math
 import time
 import unittest
 from contextlib import closing
 from dataclasses import replace
 
 from brookreach import interface as ifc
+from brookreach.drills.stand import ROW
 from brookreach.net import pgwire
 
-from .helpers import TOKEN, method
-from .peers_nodes import SELECTED, Rig, Whole
+from .helpers import ONCE, TOKEN, method
+from .peers_nodes import FULL, INSERTED, SELECTED, Rig, Whole, row
 
 TOKENED = (replace(method(TOKEN, name="look"), token_ms=150.0),)
 RELEASED = ifc.RolloutNews(False, ifc.Ending.OK, 2, 1.0, ifc.Phase.RELEASED, 0.0, 1)
@@ -143,3 +145,71 @@
             self.assertEqual(rig.ending(1), ifc.Ending.MOOT)
             node.left()
             self.assertEqual(node.queries(), [])
+
+
+class SecondAnswerTest(unittest.TestCase):
+    def second(self, late, split=None):
+        """One pick is answered; `late` comes behind it, at once or `split`, while the next is under way."""
+        with closing(Rig()) as rig:
+            rig.pick(1, rest_ms=math.inf)
+            node = rig.peer.taken_one()
+            node.asked()
+            node.send(SELECTED)
+            self.assertEqual(rig.ending(1), ifc.Ending.OK)
+            rig.until(lambda: rig.idle() == 1)
+            link = rig.link()
+            if split is not None:
+                node.send(late[:split])
+                rig.until(lambda: link.closed or len(link.inbound))
+            rig.pick(2, write=True, rest_ms=10_000.0)
+            if split is None:
+                node.send(late)
+            other = rig.peer.taken_one()
+            other.asked()
+            other.send(INSERTED.replace(b"\x9f\3", b"\x01\2"))
+            self.assertEqual(rig.ending(2), ifc.Ending.OK)
+            self.assertIn(b"\x01\2", b"".join(rig.ended[2, 0].answer))
+            self.assertEqual(len(node.queries()), 1)
+
+    def test_it_is_not_the_next_picks(self):
+        for late in (SELECTED, INSERTED, row(b"another's"), FULL):
+            self.second(late)
+
+    def test_nor_where_its_first_bytes_came_while_the_connection_was_idle(self):
+        for split in range(1, 6):
+            self.second(INSERTED, split)
+
+    def test_a_connection_that_has_rested_is_used_again(self):
+        with closing(Rig()) as rig:
+            rig.pick(1)
+            node = rig.peer.taken_one()
+            node.asked()
+            node.send(SELECTED)
+            rig.until(lambda: rig.idle() == 1)
+            parked = rig.link().parked_at
+            rig.until(lambda: time.monotonic() > parked + 0.02)
+            rig.pick(2, rest_ms=20.0)
+            node.asked(2)
+            node.send(FULL)
+            self.assertEqual(rig.ending(2), ifc.Ending.FULL)
+
+    def test_the_module_asks_for_the_rest(self):
+        """A pushback's copy would prove that a non-idempotent RPC never ran: it would run twice."""
+        with closing(Whole((method(ONCE, name="look"),), peers=1)) as whole:
+            whole.listing([whole.peers[0].listed()], RELEASED)
+            whole.take(1, "look")
+            first = connected(whole)
+            first.send(pgwire.WELCOME)
+            first.asked()
+            first.send(b"".join([*ROW, pgwire.READY]))
+            whole.until(lambda: 1 in whole.answers)
+            whole.take(2, "look")
+            whole.driver._work()  # it is picked before the copy comes
+            first.send(FULL)
+            second = connected(whole)
+            second.send(pgwire.WELCOME)
+            second.asked()
+            second.send(row(b"2"))
+            whole.until(lambda: 2 in whole.answers)
+            self.assertEqual((len(first.queries()), len(second.queries())), (1, 1))
+            self.assertIn(b"2", whole.answers[2])
