--- /dev/null
+++ b/tests/mutation_rig.py
@@ -0,0 +1,230 @@
+"""What the mutation tests see from outside: scripted peers on real sockets, and what may be said to whom.
+
+The readers here are the tests' own, so that a fault of the marshal's readers does not hide itself.
+"""
+
+import contextlib
+import re
+import socket
+import struct
+import zlib
+
+import anyio
+import anyio.lowlevel
+
+from brookreach.drills.stand import GONE
+from brookreach.net.stream import address
+
+from .mutants import FIN, RESET
+
+WAIT = re.compile(rb"\bd=[^,\s*]*")
+FRAME = struct.Struct("!ci")
+WELCOME = b"".join(FRAME.pack(tag, 4 + len(body)) + body for tag, body in (
+    (b"R", bytes(4)), (b"S", b"server_encoding\0UTF8\0"), (b"K", bytes(8)), (b"Z", b"I")))
+
+
+EMPTY, DONE, FAILED, FATAL, READY, ROW = "empty", "done", "error", "fatal", "ready", "row"
+KINDS = {"": READY, "I": EMPTY, "C": DONE, "TDC": ROW, "E": FAILED}
+
+
+def frame(tag, body):
+    return FRAME.pack(tag, 4 + len(body)) + body
+
+
+def asked(text):
+    return frame(b"Q", text + b"\0")
+
+
+def value(text):
+    """What the node makes for a query, whatever wait it was told: no two queries' are the same."""
+    return b"%08x" % zlib.crc32(WAIT.sub(b"", text))
+
+
+def row(text, words=None):
+    """The node's messages for a query."""
+    words = words or (b"INSERT 0 1\0" if text[:6].lower() == b"insert" else b"SELECT 1\0")
+    made = value(text)
+    return [frame(b"T", b"\0\1data\0" + bytes(18)), frame(b"D", b"\0\1" + struct.pack("!i", len(made)) + made),
+            frame(b"C", words), frame(b"Z", b"I")]
+
+
+def failure(code):
+    return [frame(b"E", b"SERROR\0C" + code + b"\0Mno\0\0"), frame(b"Z", b"I")]
+
+
+def frames(data, tagged=True):
+    """`(tag, body)` of each whole message, then None if what is left can never be one."""
+    at = 0
+    while len(data) - at >= (5 if tagged else 4):
+        start = at + 1 if tagged else at
+        length = int.from_bytes(data[start:start + 4], "big", signed=True)
+        if not 4 <= length <= 192 * 1024:
+            yield None
+            return
+        if len(data) < start + length:
+            return
+        yield (data[at:start], data[start + 4:start + length])
+        at = start + length
+
+
+def units(data, started):
+    """What the marshal said, an answer each: its kind and value; `started` whether a welcome comes first."""
+    said, parts, whole = [], [], 0
+    for one in frames(data):
+        assert one is not None, "the marshal's own bytes are not the protocol"
+        tag, body = one[0].decode(), one[1]
+        whole += 5 + len(body)
+        if started:
+            started = tag != "Z"
+            continue
+        if parts and parts[0][0] == "E" and tag != "Z":  # an error without ReadyForQuery, then the next answer
+            said, parts = [*said, (FATAL, b"")], []
+        if tag != "Z":
+            parts.append((tag, body))
+            continue
+        kind = KINDS.get("".join(part for part, _ in parts), "nonsense")
+        said.append((kind, parts[1][1][6:] if kind == ROW else b""))
+        parts = []
+    if parts and parts[0][0] == "E":
+        said, parts = [*said, (FATAL, b"")], []
+    return said + ([("half an answer", b"")] if parts or whole < len(data) else [])
+
+
+def until_spun(true):
+    """Without a pause between looks: other tasks have their turns."""
+    async def spin():
+        while not true():
+            await anyio.lowlevel.checkpoint()
+    return spin()
+
+
+def ours(town, port):
+    """The marshal's end of a connection whose other end has this port, or None."""
+    for one in town.parts.poller.watched.values():
+        with contextlib.suppress(OSError):
+            if one.sock.getpeername()[1] == port:
+                return one
+    return None
+
+
+class Peer:
+    """A client on a plain socket, which never waits by itself; `one` is the marshal's end of its connection."""
+
+    def __init__(self, town):
+        self.town, self.came, self.ended, self.one = town, b"", False, None
+        self.sock = socket.create_connection(address(town.at["listen"]))
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.sock.setblocking(False)
+
+    @classmethod
+    async def met(cls, town):
+        """One that the marshal has accepted."""
+        peer = cls(town)
+        port = peer.sock.getsockname()[1]
+        await until_spun(lambda: ours(town, port) is not None)
+        peer.one = ours(town, port)
+        return peer
+
+    async def write(self, data):
+        """All of it, or what is taken until the marshal ends the connection."""
+        while data and not self.ended:
+            try:
+                data = data[self.sock.send(data):]
+            except BlockingIOError:
+                await anyio.lowlevel.checkpoint()
+            except OSError:
+                return
+
+    async def settled(self):
+        """Until the marshal has read all that was written and answered all that it took of it."""
+        one, again = self.one, self.town.parts.clients
+        await until_spun(lambda: one.closed or one.quiet() and not (one.slots or one.rest or one in again.again))
+        self.read()
+
+    def read(self):
+        with contextlib.suppress(BlockingIOError):
+            try:
+                while part := self.sock.recv(1 << 16):
+                    self.came += part
+                self.ended = True
+            except ConnectionError:
+                self.ended = True
+
+    async def end(self, reset=False):
+        """FIN or reset, until the marshal has ended its side too."""
+        if reset:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            self.sock.close()
+        else:
+            with contextlib.suppress(OSError):
+                self.sock.shutdown(socket.SHUT_WR)
+        await until_spun(lambda: self.one.closed)
+        if not reset:
+            self.read()
+            self.sock.close()
+
+
+class ScriptedNode:
+    """A node that answers each query with `script(text)`: a `Mutant`, or a list of messages.
+
+    `heard` holds the queries, `made` the bytes written for each; `welcome(link)` may be another than a node's.
+    """
+
+    def __init__(self, town, script=row):
+        self.town, self.script, self.heard, self.made, self.links = town, script, [], {}, 0
+        self.welcome = lambda link: [WELCOME]
+
+    async def serve(self, stream):
+        self.links += 1
+        number = self.links
+        with contextlib.suppress(*GONE):
+            async with stream:
+                data = b""
+                while not (found := list(frames(data, tagged=False))):
+                    data += await stream.receive()
+                data = data[8 + len(found[0][1]) - 4:]
+                await self.say(stream, self.welcome(number))
+                while True:
+                    while not (found := list(frames(data))):
+                        data += await stream.receive()
+                    tag, body = found[0]
+                    data = data[5 + len(body):]
+                    text = bytes(body[:-1])
+                    self.heard.append(text)
+                    said = self.script(text)
+                    self.made.setdefault(value(text), []).append(
+                        said.data if hasattr(said, "data") else b"".join(said))
+                    await self.say(stream, said)
+
+    async def say(self, stream, said):
+        """Each piece when the marshal has read the last."""
+        pieces, ending = (said.pieces, said.ending) if hasattr(said, "pieces") else ((b"".join(said),), "")
+        await say(self.town, stream, pieces, ending)
+
+
+async def say(town, stream, pieces, ending):
+    """Write pieces, each when the marshal has read the last; then end in the way of `ending`. Raises what GONE names."""
+    port = stream.extra(anyio.abc.SocketAttribute.local_address)[1], stream.extra(
+        anyio.abc.SocketAttribute.remote_address)[1]
+    for piece in pieces:
+        await stream.send(piece)
+        if len(pieces) > 1:
+            await until_spun(lambda: read(town, port))
+    if ending == RESET:
+        raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        await anyio.aclose_forcefully(stream)
+    elif ending == FIN:
+        await stream.send_eof()
+    if ending:
+        while True:
+            await stream.receive()  # until the marshal ends its side, or for ever
+
+
+def read(town, port):
+    """Whether the marshal has read what was written to its connection that has these ports, or has ended it."""
+    for one in town.parts.poller.watched.values():
+        with contextlib.suppress(OSError):
+            if (one.sock.getpeername()[1], one.sock.getsockname()[1]) == port:
+                return one.closed or one.quiet()
+    return True
