--- a/brookreach/net/client.py
+++ b/brookreach/net/client.py
@@ -73,12 +73,14 @@
                 if body is None:
                     if len(self.inbound) > limits.head:
                         raise pgwire.BrokenStream("an endless startup message")
+                    self.leave()
                     return
                 self._startup(body)
             else:
                 message = self.inbound.message()
                 if message is None:
                     self._half(count > 1)
+                    self.leave()
                     return
                 self._message(message[0], message[1])
         if not self.closed and not self.leaving:
@@ -129,7 +131,11 @@
             return
         slot = Slot(self)
         try:
-            slot.rpc = self.home.taker.take(statement(text, self.home.limits.comment), slot)
+            one = statement(text, self.home.limits.comment)
+            if self.home.ends_before(one.wait_ms):  # it may send it again elsewhere
+                self.give_up("an RPC with more time than a marshal that stops has")
+                return
+            slot.rpc = self.home.taker.take(one, slot)
         except BadStatement as error:
             self.home.report.say("client", f"statement not taken: {error}")
             self.faults += 1
@@ -163,6 +169,7 @@
 
     def _take_no_more(self) -> None:
         self.leaving = self.reading = True  # read on: a reset could overtake the last answer
+        self.home.busy(self)
         self.home.half.pop(self, None)
         self.inbound.head = self.inbound.tail
         self.interest()
@@ -210,13 +217,11 @@
             self._read_on()
         if not self.slots and not self.leaving:
             self.home.idle[self] = self.poller.polled
-            if self.home.stopping:
-                self.leave()
 
     def _read_on(self) -> None:
         if self.leaving:
             self._end_side()
-        elif not self.reading:
+        elif not self.reading or self.home.stopping:
             self.home.resumable.append(self)
 
     def emptied(self) -> None:
@@ -224,6 +229,6 @@
         self._read_on()
 
     def leave(self) -> None:
-        """End our side between RPCs."""
-        if not self.leaving:
+        """While we stop, end our side between RPCs, once all that has come is answered."""
+        if self.home.stopping and not (self.slots or self.rest or len(self.inbound)) and self.quiet():
             self._take_no_more()
--- a/brookreach/net/clients.py
+++ b/brookreach/net/clients.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from collections import OrderedDict
 from itertools import islice
@@ -17,6 +18,8 @@
 from .report import Report
 from .stream import IN, Listener, Poller
 
+PAST_S = 0.1  # what came in the instant of the last call is waited for so much longer
+
 
 class Clients:
     def __init__(self, limits: Limits, report: Report, poller: Poller, taker: Taker, at: str) -> None:
@@ -31,18 +34,20 @@
         self.pool = pgwire.Pool(limits.large)
         self.resumable: list[Client] = []  # to be looked at again for RPCs that have come already
         self.stopping = self.deaf = False
+        self.ends_at = math.inf  # by the monotonic clock
         self.one_left = anyio.Event()
         self.listener: Listener | None = Listener(poller, at, limits.backlog, self.arrived)
 
-    def arrived(self) -> None:
+    def arrived(self) -> bool:
         """Accept what the kernel has taken for us: a connection that waits there may hold an RPC that nobody
         looks at. Where all connections hold RPCs, a new one is closed at once: its client can go elsewhere.
+        Whether more may wait there.
         """
         try:
             for _ in range(self.limits.sockets):
                 sock = self.listener.accept() if self.listener is not None else None
                 if sock is None:
-                    return
+                    return False
                 if len(self.open) < self.limits.clients or self._make_way():
                     self.open.add(Client(sock, self))
                 else:
@@ -53,6 +58,8 @@
             if self.listener is not None and not self._make_way():
                 self.deaf = True
                 self.poller.watch(self.listener, 0)
+                return False
+        return True
 
     def _make_way(self) -> bool:
         """Close the connection that has been silent for longest, else the one that has been idle for longest:
@@ -103,15 +110,25 @@
     async def stop(self) -> None:
         """Take what still comes for a moment, finish what is under way, end the rest between RPCs."""
         await anyio.sleep(self.limits.linger_s)
+        self.last_call()
+        with anyio.move_on_after(self.ends_at - time.monotonic()):
+            while self.open:
+                self.one_left = anyio.Event()
+                await self.one_left.wait()
+
+    def last_call(self) -> None:
+        """Nobody new from here on; what has come up to now is owed an answer, also where it lies unread."""
         self.stopping = True
-        self.arrived()  # the kernel has taken these for us
+        for _ in range(self.limits.backlog):
+            if not self.arrived():
+                break
         if self.listener is not None:
             self.listener.close()
             self.listener = None
         for client in list(self.open):
-            if not client.slots:
-                client.leave()
-        with anyio.move_on_after(self.limits.drain_s - self.limits.linger_s):
-            while self.open:
-                self.one_left = anyio.Event()
-                await self.one_left.wait()
+            client.leave()
+        self.ends_at = time.monotonic() + self.limits.drain_s - self.limits.linger_s + PAST_S
+
+    def ends_before(self, wait_ms: float) -> bool:
+        """Whether we may have ended before an RPC that comes now has its answer."""
+        return time.monotonic() + wait_ms / 1000.0 > self.ends_at
--- a/brookreach/net/stream.py
+++ b/brookreach/net/stream.py
@@ -105,7 +105,7 @@
 class Listener(Watched):
     """A listening socket; a restart takes the same address at once. Handler: `arrived`."""
 
-    def __init__(self, poller: Poller, text: str, backlog: int, arrived: Callable[[], None]) -> None:
+    def __init__(self, poller: Poller, text: str, backlog: int, arrived: Callable[[], object]) -> None:
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
--- a/tests/peers_clients.py
+++ b/tests/peers_clients.py
@@ -124,6 +124,10 @@
         self.sock.sendall(data)
         self.sock.setblocking(False)
 
+    def narrow(self):
+        """The marshal's kernel holds little of an answer that its client does not take."""
+        self.client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+
     def unread(self):
         """Bytes that lie in the marshal's kernel wait there; true once some do."""
         return bool(select.select([self.client.sock], [], [], 0)[0])
--- /dev/null
+++ b/tests/test_endings_stop.py
@@ -0,0 +1,155 @@
+"""The instant of a stop: what has come by then is answered, also where nobody had read it yet."""
+
+import unittest
+
+from brookreach.net import pgwire
+
+from .peers_clients import HELLO, PortCase, query, row
+
+
+def rows(*numbers):
+    return b"".join(row(b"%d" % number) for number in numbers)
+
+
+class LastCallTest(PortCase):
+    def answered(self, port, count):
+        """Answers whatever has been taken, until so many RPCs were."""
+        def all_taken():
+            for number in list(port.desk.slots):
+                port.desk.answer(number)
+            return len(port.desk.taken) == count
+        port.until(all_taken)
+
+    def ends(self, port, peer, *numbers):
+        peer.hears(rows(*numbers))
+        self.assertEqual((peer.ends(), port.desk.left), (("FIN", b""), []))
+
+    def test_an_idle_connection_ends_between_rpcs(self):
+        port = self.port()
+        peer = port.ready_peer()
+        port.home.last_call()
+        self.ends(port, peer)
+        peer.send(query(1))  # it crossed: our end was written before
+        port.rest()
+        self.assertEqual(port.desk.taken, [])
+        peer.sock.close()
+        port.until(lambda: not port.home.open)
+
+    def test_a_query_that_lies_unread_in_the_kernel(self):
+        port = self.port()
+        peer = port.ready_peer()
+        peer.send(query(1))
+        while not peer.unread():
+            pass
+        port.home.last_call()
+        self.answered(port, 1)
+        self.ends(port, peer, 1)
+
+    def test_a_query_that_lies_unread_as_the_answer_before_it_goes_out(self):
+        port = self.port()
+        peer = port.ready_peer()
+        peer.send(query(1))
+        port.until(lambda: port.desk.taken)
+        port.home.last_call()
+        peer.send(query(2))
+        while not peer.unread():
+            pass
+        port.desk.answer(1)
+        port.home.catch_up()  # before the sockets have their turn
+        self.answered(port, 2)
+        self.ends(port, peer, 1, 2)
+
+    def test_more_queries_than_may_be_under_way(self):
+        port, numbers = self.port(), range(1, 31)
+        peer = port.ready_peer()
+        peer.send(b"".join(query(number) for number in numbers))
+        port.until(lambda: len(port.desk.taken) == 8)
+        port.home.last_call()
+        self.answered(port, 30)
+        self.ends(port, peer, *numbers)
+
+    def test_more_commands_than_are_handled_in_one_turn(self):
+        port = self.port()
+        peer = port.ready_peer()
+        peer.send(b"".join(pgwire.query(b"")) * 400 + query(1))
+        while not peer.unread():
+            pass
+        port.home.last_call()
+        self.answered(port, 1)
+        peer.hears(pgwire.EMPTY * 400)
+        self.ends(port, peer, 1)
+
+    def test_a_query_that_is_half_there(self):
+        port, whole = self.port(), query(1)
+        peer = port.ready_peer()
+        peer.send(whole[:20])
+        port.until(lambda: port.home.half)
+        port.home.last_call()
+        port.rest()
+        peer.send(whole[20:])
+        self.answered(port, 1)
+        self.ends(port, peer, 1)
+
+    def test_a_startup_that_is_half_there(self):
+        port = self.port()
+        peer = port.peer(HELLO[:7])
+        port.until(lambda: peer.client and len(peer.client.inbound))
+        port.home.last_call()
+        port.rest()
+        peer.send(HELLO[7:] + query(1))
+        peer.hears(pgwire.WELCOME)
+        self.answered(port, 1)
+        self.ends(port, peer, 1)
+
+    def test_connections_that_wait_to_be_accepted(self):
+        port = self.port()
+        numbers = range(1, 101)
+        peers = [port.peer(HELLO + query(number)) for number in numbers]
+        port.home.last_call()
+        self.answered(port, 100)
+        for number, peer in zip(numbers, peers, strict=True):
+            peer.hears(pgwire.WELCOME)
+            self.ends(port, peer, number)
+
+    def test_an_answer_that_the_client_has_not_taken_yet(self):
+        port, large = self.port(), bytes(256 << 10)
+        peer = port.ready_peer(window=4096)
+        peer.narrow()
+        peer.send(query(1) + query(2))
+        port.until(lambda: len(port.desk.taken) == 2)
+        port.desk.answer(1, large)
+        self.assertTrue(peer.client.rest)
+        peer.send(query(3))
+        port.home.last_call()
+        port.desk.answer(2)
+        peer.hears(row(large))
+        self.answered(port, 3)
+        self.ends(port, peer, 2, 3)
+
+    def test_a_client_that_never_pauses_is_ended_before_we_end(self):
+        port = self.port()
+        peer = port.ready_peer()
+        peer.send(query(1, wait_ms=3000))
+        port.until(lambda: port.desk.taken)
+        port.home.last_call()
+        peer.send(query(2, wait_ms=1000))  # its time is over before ours is
+        port.until(lambda: 2 in port.desk.taken)
+        port.desk.answer(1)
+        peer.send(query(3, wait_ms=5000) + query(4, wait_ms=1))
+        port.until(lambda: peer.client.leaving)
+        port.desk.answer(2)
+        self.ends(port, peer, 1, 2)
+        self.assertEqual(port.desk.taken, [1, 2])
+
+    def test_an_rpc_with_the_longest_time_of_all_in_the_last_instant(self):
+        port = self.port()
+        peer = port.ready_peer()
+        peer.send(query(1, wait_ms=3000))
+        port.home.last_call()
+        self.assertFalse(port.home.ends_before(3000.0))
+        self.answered(port, 1)
+        self.ends(port, peer, 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
