Settings that are not as worded: one line with the key's path and what stands there

Seen: a missing key was named without its path (KeyError: 'windowUs' of which class?), and much was taken that no page words: NaN, negative and infinite figures, booleans and texts as numbers, 1 as true, words unknown to capScope, replaceMode, registryMode and via (each read as 'the other one'), one cap for two stages, no class, two of one name, an ordinal or zone past the last. The marshal started with it, or failed later. At fault: facts.py, _start, which passed on whatever stood there, and start_from, whose KeyError knows the last key only.

Change: each object is read through Told, which holds its path and checks what it hands out. Nothing is made up; what is not read is not looked at, further keys do no harm, whole numbers may come with a point.

--- a/brookreach/facts.py
+++ b/brookreach/facts.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 from typing import Any, TypeVar
 
@@ -17,67 +18,183 @@
 GATES = {"any": ifc.Gate.ANY, "share": ifc.Gate.SHARE, "timer": ifc.Gate.CLOCK}
 LOADS = {"busy_reqs": ifc.Load.INFLIGHT, "pending": ifc.Load.QUEUED, "cpu_share": ifc.Load.CPU_SHARE,
          "svc_ms": ifc.Load.SERVICE_MS, "served_ps": ifc.Load.RATE, "failed_ps": ifc.Load.ERROR_RATE}
+LISTS_ON_REQUEST = {"push": False, "ask": True}
+CAPS_BY_METHOD = {"all": False, "class": True}
+IN_PLACE = {"beside": False, "in_place": True}
+REPORTED = {"off": False, "inline": True, "on_probe": True}
+SHOWN = 60  # characters of a value that is not as agreed
 
 Meaning = TypeVar("Meaning")
 
 
 class FactsError(Exception):
-    """The settings are not what the users' pages word; the text says where."""
+    """The settings are not what the users' pages word; the text says where, and what stands there."""
 
 
 def to_ms(us: float) -> float:
     return us / 1000.0
 
 
-def _known(words: Mapping[str, Meaning], word: str) -> Meaning:
-    if word not in words:
-        raise ValueError(f"unknown word {word!r}")
+def _shown(value: object) -> str:
+    text = repr(value)
+    return text if len(text) <= SHOWN else text[:SHOWN] + "..."
+
+
+class Told:
+    """One object of the settings and the path to it. What is read is as agreed, or raises FactsError."""
+
+    def __init__(self, value: object, path: str) -> None:
+        if not isinstance(value, Mapping):
+            raise FactsError(f"{path} is {_shown(value)}, not an object")
+        self.values: Mapping[str, Any] = value
+        self.path = path
+
+    def wrong(self, key: str, wanted: str) -> FactsError:
+        return FactsError(f"{self.path}.{key} is {_shown(self.values[key])}, not {wanted}")
+
+    def value(self, key: str) -> Any:
+        if key not in self.values:
+            within = self.path.partition(".")[2]
+            raise FactsError(f"settings lack or misname {(within and within + '.') + key!r}")
+        return self.values[key]
+
+    def object(self, key: str) -> Told:
+        return Told(self.value(key), f"{self.path}.{key}")
+
+    def items(self, key: str) -> list[Any]:
+        value = self.value(key)
+        if not isinstance(value, list):
+            raise self.wrong(key, "a list")
+        return value
+
+    def objects(self, key: str) -> list[Told]:
+        return [Told(item, f"{self.path}.{key}[{at}]") for at, item in enumerate(self.items(key))]
+
+    def number(self, key: str, most: float = math.inf) -> float:
+        """From 0 to `most`; what JSON can't hold but Python reads, NaN and infinities, is none."""
+        value = self.value(key)
+        if not _is_number(value, most):
+            raise self.wrong(key, "a number" + _range(most))
+        return float(value)
+
+    def ms(self, key: str) -> float:
+        """A time that is told in microseconds."""
+        return to_ms(self.number(key))
+
+    def count(self, key: str, most: float = math.inf) -> int:
+        value = self.value(key)
+        if not _is_number(value, most) or value != int(value):
+            raise self.wrong(key, "a whole number" + _range(most))
+        return int(value)
+
+    def numbers(self, key: str, most: float) -> tuple[float, ...]:
+        items = self.items(key)
+        for at, item in enumerate(items):
+            if not _is_number(item, most):
+                raise FactsError(f"{self.path}.{key}[{at}] is {_shown(item)}, not a number" + _range(most))
+        return tuple(float(item) for item in items)
+
+    def flag(self, key: str) -> bool:
+        value = self.value(key)
+        if not isinstance(value, bool):
+            raise self.wrong(key, "true or false")
+        return value
+
+    def text(self, key: str) -> str:
+        value = self.value(key)
+        if not isinstance(value, str) or not value:
+            raise self.wrong(key, "a text")
+        return value
+
+    def word(self, key: str, words: Mapping[str, Meaning]) -> Meaning:
+        return _meaning(self.value(key), words, f"{self.path}.{key}")
+
+
+def _range(most: float) -> str:
+    return " from 0 up" if most == math.inf else f" from 0 to {most:g}"
+
+
+def _is_number(value: object, most: float) -> bool:
+    if isinstance(value, bool) or not isinstance(value, (int, float)):
+        return False
+    return 0 <= value <= min(most, 1e300)  # false also for what is not a number
+
+
+def _meaning(word: object, words: Mapping[str, Meaning], path: str) -> Meaning:
+    if not isinstance(word, str) or word not in words:
+        raise FactsError(f"{path} is {_shown(word)}, an unknown word; known: {', '.join(words)}")
     return words[word]
 
 
 def start_from(seed: int, told: Mapping[str, Any]) -> ifc.Start:
-    try:
-        return _start(seed, told)
-    except KeyError as error:
-        raise FactsError(f"settings lack or misname {error}") from None
-    except (TypeError, AttributeError, ValueError) as error:
-        raise FactsError(f"settings are malformed: {error}") from None
-
-
-def _start(seed: int, told: Mapping[str, Any]) -> ifc.Start:
-    allowed, family, guarantees, fees = told["allowed"], told["familyInfo"], told["guarantees"], told["fees"]
-    methods = tuple(
-        ifc.Method(m["name"], _known(REPEATS, m["idempotency"]), _known(GROUPS, m["dedupScope"]),
-                   to_ms(m["windowUs"]), to_ms(m["aimUs"]), to_ms(m["hardLimitUs"]), m["worth"],
-                   m["lateWorth"], m.get("aimStretch", 0.0), m["stream"])
-        for m in told["classes"])
-    tenants = tuple(ifc.Tenant(t["name"], t["share"], t["allowancePerS"]) for t in told["tenants"])
+    """The settings as told, in our units; raises FactsError for the first that is not as agreed."""
+    settings = Told(told, "settings")
+    allowed, guards, family = (settings.object(key) for key in ("allowed", "guarantees", "familyInfo"))
+    fees, report = settings.object("fees"), settings.object("report")
+    fields = report.items("fields") if report.word("via", REPORTED) else []
     return ifc.Start(
         seed=seed,
-        place=ifc.Place(told["myZone"], told["ordinal"], told["balancers"]),
-        methods=methods,
-        tenants=tenants,
-        over_share_utility=told["overShareWorth"],
-        permits=ifc.Permits(allowed["cancel"], allowed["probes"], allowed["secondCopies"], allowed["peers"],
-                            allowed["retryAfter"], to_ms(allowed["maxRetryAfterUs"]), allowed["sendCap"],
-                            allowed["mostHeld"], told["registryMode"] == "ask"),
-        guards=ifc.Guards(to_ms(guarantees["answerSlackUs"]), to_ms(guarantees["askWithinUs"]),
-                          guarantees["coldShare"], to_ms(guarantees["warmWithinUs"]),
-                          to_ms(guarantees["drainGraceUs"]), guarantees["fallMultiple"],
-                          to_ms(guarantees["tipAfterUs"])),
-        exposure=ifc.Exposure(to_ms(family["countedOverUs"]), family["uncounted"],
-                              tuple(family["exposureCaps"]), family["capScope"] == "class",
-                              family["guardedStages"], family["forwardOnly"]),
-        voting=ifc.Voting(_known(GATES, family["gateMode"]), family["toAdvance"], family["toAbort"],
-                          family["holdVotes"], to_ms(family["ballotTtlUs"]),
-                          to_ms(family["answerWaitUs"]), family["voteAllowance"],
-                          to_ms(family["minDwellUs"]), to_ms(family["movesAfterUs"])),
-        rollout=ifc.Rollout(tuple(family["stageShare"]), family["replaceMode"] == "in_place",
-                            to_ms(family["newsPeriodUs"]), to_ms(family["metricsPeriodUs"]),
-                            family["sample"], family["complaintShare"], family.get("warmKeys", False)),
-        prices=ifc.Prices(fees["crossZone"], fees["waste"], fees["probe"], fees["lateFail"],
-                          family["delayPrice"], family["blastPrice"]),
-        reports=() if told["report"]["via"] == "off" else tuple(
-            _known(LOADS, field) for field in told["report"]["fields"]),
-        tick_ms=to_ms(told["tickUs"]),
+        place=_place(settings),
+        methods=_methods(settings),
+        tenants=tuple(ifc.Tenant(one.text("name"), one.number("share"), one.number("allowancePerS"))
+                      for one in settings.objects("tenants")),
+        over_share_utility=settings.number("overShareWorth"),
+        permits=ifc.Permits(allowed.flag("cancel"), allowed.flag("probes"), allowed.flag("secondCopies"),
+                            allowed.flag("peers"), allowed.flag("retryAfter"), allowed.ms("maxRetryAfterUs"),
+                            allowed.count("sendCap"), allowed.count("mostHeld"),
+                            settings.word("registryMode", LISTS_ON_REQUEST)),
+        guards=ifc.Guards(guards.ms("answerSlackUs"), guards.ms("askWithinUs"),
+                          guards.number("coldShare", 1.0), guards.ms("warmWithinUs"),
+                          guards.ms("drainGraceUs"), guards.number("fallMultiple"), guards.ms("tipAfterUs")),
+        exposure=_exposure(family),
+        voting=ifc.Voting(family.word("gateMode", GATES), family.count("toAdvance"), family.count("toAbort"),
+                          family.count("holdVotes"), family.ms("ballotTtlUs"), family.ms("answerWaitUs"),
+                          family.number("voteAllowance"), family.ms("minDwellUs"), family.ms("movesAfterUs")),
+        rollout=ifc.Rollout(family.numbers("stageShare", 1.0), family.word("replaceMode", IN_PLACE),
+                            family.ms("newsPeriodUs"), family.ms("metricsPeriodUs"),
+                            family.number("sample", 1.0), family.number("complaintShare", 1.0),
+                            family.flag("warmKeys") if "warmKeys" in family.values else False),
+        prices=ifc.Prices(fees.number("crossZone"), fees.number("waste"), fees.number("probe"),
+                          fees.number("lateFail"), family.number("delayPrice"), family.number("blastPrice")),
+        reports=tuple(_meaning(field, LOADS, f"settings.report.fields[{at}]")
+                      for at, field in enumerate(fields)),
+        tick_ms=settings.ms("tickUs"),
     )
+
+
+def _place(settings: Told) -> ifc.Place:
+    place = ifc.Place(settings.count("myZone"), settings.count("ordinal"), settings.count("balancers"))
+    if place.ordinal >= place.marshals:
+        raise settings.wrong("ordinal", f"below settings.balancers, {place.marshals}")
+    zones = len(settings.items("zones")) if "zones" in settings.values else 0
+    if 0 < zones <= place.zone:
+        raise settings.wrong("myZone", f"one of the {zones} settings.zones, counted from 0")
+    return place
+
+
+def _methods(settings: Told) -> tuple[ifc.Method, ...]:
+    seen: dict[str, str] = {}
+    methods = []
+    for told in settings.objects("classes"):
+        name = told.text("name")
+        if name in seen:
+            raise FactsError(f"{told.path}.name is {_shown(name)}, as {seen[name]}.name is")
+        seen[name] = told.path
+        methods.append(ifc.Method(
+            name, told.word("idempotency", REPEATS), told.word("dedupScope", GROUPS), told.ms("windowUs"),
+            told.ms("aimUs"), told.ms("hardLimitUs"), told.number("worth"), told.number("lateWorth"),
+            told.number("aimStretch") if "aimStretch" in told.values else 0.0, told.flag("stream")))
+    if not methods:
+        raise settings.wrong("classes", "one class or more")
+    return tuple(methods)
+
+
+def _exposure(family: Told) -> ifc.Exposure:
+    caps, stages = family.numbers("exposureCaps", 1.0), len(family.items("stageShare"))
+    if not stages:
+        raise family.wrong("stageShare", "one stage or more")
+    if len(caps) != stages:
+        raise family.wrong("exposureCaps", f"one cap for each of the {stages} stages of stageShare")
+    return ifc.Exposure(family.ms("countedOverUs"), family.number("uncounted"), caps,
+                        family.word("capScope", CAPS_BY_METHOD), family.count("guardedStages"),
+                        family.flag("forwardOnly"))
