--- a/tests/mutation_rig.py
+++ b/tests/mutation_rig.py
@@ -138,7 +138,7 @@
     async def settled(self):
         """Until the marshal has read all that was written and answered all that it took of it."""
         one, again = self.one, self.town.parts.clients
-        await until_spun(lambda: one.closed or one.quiet() and not (one.slots or one.rest or one in again.again))
+        await until_spun(lambda: one.closed or one.quiet() and not (one.slots or one.rest or one in again.resumable))
         self.read()
 
     def read(self):
