--- a/brookreach/net/statement.py
+++ b/brookreach/net/statement.py
@@ -19,7 +19,7 @@
 
 
 COMMENT = re.compile(rb"/\*([^*]*)\*/[\s;]*\Z")
-WAIT = re.compile(rb"(?:\A|,)\s*d=([^,\s]*)")
+WAIT = re.compile(rb"(?:\A|,)\s*d=\s*([^,\s]*)")
 KINDS = re.compile(rb"\s*(select|insert)\b", re.IGNORECASE)
 HARMLESS = re.compile(rb"\s*(set|reset|discard)\b", re.IGNORECASE)
 NAME = re.compile(rb"[0-9A-Za-z_.:-]{1,64}\Z")
@@ -41,6 +41,8 @@
 def _number(values: dict[bytes, bytes], name: bytes) -> float:
     try:
         number = float(values[name])
+        if b"_" in values[name]:  # Python reads it as a number; others needn't
+            raise ValueError
     except (KeyError, ValueError):
         raise BadStatement(b"22023", f"no readable {name.decode()} in the comment") from None
     if not 0.0 <= number <= 1e12:  # also what is not a number
@@ -56,7 +58,10 @@
 
 
 def statement(text: memoryview, comment: int) -> Statement:
-    """`text` is a query's body without the closing NUL; its comment is within the last `comment` bytes."""
+    """`text` is a query's body without the closing NUL; its comment is within the last `comment` bytes.
+
+    Raises BadStatement for what could be read in two ways: a node must find in the text what we found.
+    """
     kind = KINDS.match(text)
     if kind is None:
         raise BadStatement(b"42601", "neither SELECT nor INSERT")
@@ -68,16 +73,21 @@
     values: dict[bytes, bytes] = {}
     for pair in said.split(b","):
         name, _, value = pair.strip().partition(b"=")
+        if name and name in values:
+            raise BadStatement(b"22023", f"{name.decode(errors='replace')!r} twice in the comment")
         values[name] = value.strip()
     if not NAME.match(values.get(b"id", b"")):
         raise BadStatement(b"22023", "no readable id in the comment")
     wait, at = WAIT.search(said), tail + found.start(1)
     wait_ms = _number(values, b"d")
     assert wait is not None  # d was read just now
+    before, after = bytes(text[:at + wait.start(1)]), bytes(text[at + wait.end(1):])
+    if b"\0" in before or b"\0" in after:  # to a node the text would end there
+        raise BadStatement(b"22021", "a NUL in the statement")
     return Statement(
         name=values[b"id"], method=values.get(b"c", b""), wait_ms=wait_ms,
         cost_ms=_number(values, b"h") / 1000.0 if b"h" in values else None,
         repeat=values.get(b"r") == b"1", write=kind.group(1).lower() == b"insert",
         # Ids stay as the wire gives them: equal keys, equal numbers.
         key=int.from_bytes(values[b"k"], "big") if b"k" in values else 0,
-        before=bytes(text[:at + wait.start(1)]), after=bytes(text[at + wait.end(1):]))
+        before=before, after=after)
