--- a/brookreach/net/nodes.py
+++ b/brookreach/net/nodes.py
@@ -12,7 +12,7 @@
 
 from . import pgwire
 from .limits import Limits
-from .link import Ending, Endpoint, InFlight, Link, Listed, Owner, PickOutcome
+from .link import Ending, Endpoint, HalfWritten, InFlight, Link, Listed, Owner, PickOutcome
 from .report import Report
 from .statement import Statement
 from .stream import Poller
@@ -69,10 +69,12 @@
         if endpoint is None:
             self.owner.put(PickOutcome(pick.rpc, nth, pick.node, Ending.MOOT, 0.0, []))
             return
-        flight = InFlight(self, endpoint, pick.rpc, nth, pick.wait_ms, statement)
+        flight = InFlight(self, endpoint, pick.rpc, nth, pick.wait_ms, pick.write_ms, statement)
         self.in_flight[pick.rpc, nth] = flight
         self.owner.alarm(pick.wait_ms, flight)
-        self._start(flight)
+        if pick.write_ms < pick.wait_ms:
+            self.owner.alarm(pick.write_ms, HalfWritten(flight))
+        self._start(flight, pick.rest_ms)
 
     def cancel(self, rpc: int, nth: int) -> None:
         flight = self.in_flight.get((rpc, nth))
@@ -82,9 +84,10 @@
     def probe(self, node: int) -> None:
         endpoint = self.endpoints.get(node)
         if endpoint is not None:
-            flight = InFlight(self, endpoint, 0, 0, self.limits.dial_s * 1000.0, None)
-            self.owner.alarm(self.limits.dial_s * 1000.0, flight)
-            self._start(flight)
+            wait_ms = self.limits.dial_s * 1000.0
+            flight = InFlight(self, endpoint, 0, 0, wait_ms, wait_ms, None)
+            self.owner.alarm(wait_ms, flight)
+            self._start(flight, wait_ms)
 
     def close_idle(self, node: int) -> None:
         endpoint = self.endpoints.get(node)
@@ -93,15 +96,24 @@
 
     # --- connections ---
 
-    def _start(self, flight: InFlight) -> None:
-        """By an idle connection that still stands, or by a new one."""
+    def _rested(self, endpoint: Endpoint, rest_ms: float) -> Link | None:
+        """An idle connection that still stands, on which no second copy of its last answer is to come."""
+        silent_since = time.monotonic() - rest_ms / 1000.0
+        for link in reversed(list(endpoint.idle)):
+            if link.parked_at <= silent_since:
+                endpoint.idle.remove(link)
+                if link.quiet():
+                    return link
+                link.drop()
+        return None
+
+    def _start(self, flight: InFlight, rest_ms: float) -> None:
+        """By an idle connection that is fit for it, or by a new one."""
         endpoint = flight.endpoint
-        while endpoint.idle:
-            link = endpoint.idle.pop()
-            if link.quiet():
-                link.ask(flight)
-                return
-            link.drop()
+        link = self._rested(endpoint, rest_ms)
+        if link is not None:
+            link.ask(flight)
+            return
         if self.links >= self.limits.links and not self._spare_one():
             self.report.say("nodes", f"all {self.limits.links} connections are taken: picks are not sent")
             flight.end(Ending.MOOT, [])
