--- a/brookreach/__main__.py
+++ b/brookreach/__main__.py
@@ -6,12 +6,18 @@
 
 from __future__ import annotations
 
+import signal
+import sys
+
+if __name__ == "__main__" and len(sys.argv) < 2:
+    # A SIGHUP while the rest is imported would end us. The configuration that it tells of is read after that.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 import gc
 import json
 import os
 import random
-import signal
-import sys
+import traceback
 from collections.abc import Callable, Mapping
 from pathlib import Path
 from typing import Any, Protocol
@@ -50,7 +56,7 @@
             told = json.load(file)
     except OSError as error:
         raise BadStart(f"{named} can't be read: {error}") from None
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise BadStart(f"{path} is not JSON: {error}") from None
     if not isinstance(told, dict):
         raise BadStart(f"{path} holds no object")
@@ -123,6 +129,8 @@
             self.configure(configuration(os.environ))
         except BadStart as error:
             self.report.say("marshal", f"configuration not taken: {error}")
+        except Exception:  # a defect must not end the RPCs under way
+            self.fault(traceback.format_exc(limit=-2))
 
     async def run(self) -> None:
         self.taken: OSError | None = None  # why its address can't be listened on
