--- /dev/null
+++ b/tests/test_mutation_nodes.py
@@ -0,0 +1,198 @@
+"""Whole conversations of nodes with one message changed, over real sockets: what reaches clients, and what runs."""
+
+import itertools
+import json
+import random
+import struct
+import unittest
+import unittest.mock
+
+import anyio
+
+from brookreach.net import link, pgwire
+
+from .helpers import SETTINGS, Town, until
+from .mutants import RESET, Mutant, message_mutants, sampled
+from .mutation_rig import (
+    FAILED,
+    ROW,
+    Peer,
+    ScriptedNode,
+    asked,
+    code,
+    failure,
+    frame,
+    frames,
+    row,
+    units,
+    value,
+)
+
+BATCH = 60  # conversations at a time, each with a node and a client of its own
+PATIENT = SETTINGS | {"allowed": SETTINGS["allowed"] | {"dialTimeoutUs": 500_000}}  # so many at once, in one process
+WORDS = {b"S": b"SELECT 1\0", b"I": b"INSERT 0 1\0"}
+WELCOME = [frame(b"R", bytes(4)), frame(b"S", b"server_encoding\0UTF8\0"), frame(b"K", bytes(8)), frame(b"Z", b"I")]
+
+
+def text_of(number, method):
+    kind = b"INSERT INTO facts VALUES ('x') RETURNING data" if method == "book" else b"SELECT data FROM facts"
+    return b"%b /* id=%04x,c=%b,d=1200 */" % (kind, number, method.encode())
+
+
+def answers(text):
+    """What a node says in a good conversation, by name."""
+    first, then, last, ready = row(text)
+    return {"row": [first, then, last, ready], "error": failure(b"XX000"), "full": failure(b"53300"),
+            "noted": [frame(b"N", b"SNOTICE\0Mx\0\0"), first, then, frame(b"S", b"x\0y\0"), last, ready]}
+
+
+def told(made):
+    """What a node's bytes say of a query, by the protocol: a whole row's value, an SQLSTATE, or None."""
+    found = [one for one in frames(made) if one is None or one[0] not in b"NS"]
+    if found and found[0] and found[0][0] == b"E":
+        return None, code(found[0][1])
+    if len(found) < 3 or None in found[:3] or [tag for tag, _ in found[:3]] != [b"T", b"D", b"C"]:
+        return None, None
+    (_, head), (_, held), _ = found[:3]
+    name, nul, kind = head[2:].partition(b"\0")
+    sound = head[:2] == held[:2] == b"\0\1" and nul and len(kind) == 18 and len(held) >= 6
+    if not sound or struct.unpack("!i", held[2:6])[0] != len(held) - 6:
+        return None, None
+    return held[6:], found[2][1]
+
+
+class Many(Town):
+    """A town of so many nodes, all of them one stand-in."""
+
+    def __init__(self, script):
+        super().__init__(PATIENT)
+        self.node = ScriptedNode(self, script)
+
+    def members(self):
+        one = json.loads(super().members())["members"][0]
+        return json.dumps({"revision": self.revision, "complete": True, "members": [
+            one | {"id": f"s-{at}"} for at in range(90)]})
+
+
+class Case:
+    """One conversation: a client asks once, the node's first answer to it is changed; then the client asks again."""
+
+    def __init__(self, method, mutant, number):
+        self.wrong, self.tries = None, 0
+        self.text, self.next = text_of(number, method), text_of(number + 0x8000, "look")
+        # What a node makes for a query is its own: the same change, in the bytes for this one.
+        data, ends = mutant.data.replace(value(text_of(0, method)), value(self.text)), [0]
+        for piece in mutant.pieces if number % 3 else (data,):  # else all in one write
+            ends.append(ends[-1] + len(piece))
+        pieces = tuple(data[begin:end] for begin, end in itertools.pairwise(ends))
+        self.mutant = Mutant(f"{mutant.name} ({method})", pieces, mutant.ending)
+
+    async def play(self, town):
+        peer = await Peer.met(town)
+        await peer.write(pgwire.hello("portal", "crm") + asked(self.text))
+        await peer.settled()
+        begun = len(peer.came)
+        while not self.wrong and (b"53300" in peer.came[begun:] or begun == len(peer.came)):
+            begun = len(peer.came)  # pushed back, since so many nodes fail at once: it tries again
+            await peer.write(asked(self.next))
+            await peer.settled()
+            self.tries += 1
+            self.wrong = "no answer" if len(peer.came) == begun else None
+        self.wrong = self.wrong or self.judged(peer, town.node)
+        await peer.end()
+
+    def judged(self, peer, node):
+        """What is wrong with how it went: a text, or None."""
+        made = [told(one) for one in node.made.get(value(self.text), [])]
+        words = WORDS[self.text[:1]]
+        rows = [held for held, last in made if held is not None and last == words]
+        said = units(peer.came, True)
+        if peer.ended or len(said) != 1 + self.tries:
+            return f"{said} to {1 + self.tries} queries"
+        (kind, held), after = said[0], said[-1]
+        if after != (ROW, value(self.next)):
+            return f"the next query's answer is {after}"
+        if kind not in (ROW, FAILED) or kind == ROW and held not in rows:
+            return f"{kind} {held!r} where the node made {made}"
+        # Behind a welcome that is not one, and ahead of a reset, the answer may not be read any more.
+        if rows and kind == FAILED and self.mutant.ending != RESET and "welcome" not in self.mutant.name:
+            return f"the node made {rows} and the client was told {kind}"
+        not_run = [held is None and last == b"53300" for held, last in made]
+        if b"INSERT" in self.text and not all(not_run[:-1]):
+            return f"an INSERT ran again after {made}"
+        return None
+
+
+async def rest(town):
+    """When all has ended: what is left behind in a table, as texts."""
+    driver, nodes, home = town.parts.driver, town.parts.driver.nodes, town.parts.clients
+    await until(lambda: not nodes.in_flight and not nodes.settling and nodes.links == sum(
+        len(endpoint.idle) for endpoint in nodes.endpoints.values()))
+    left = (driver.open, driver.names, home.open, nodes.limits.large - nodes.pool.free)
+    return [f"left behind: {left}"] if any(left) else []
+
+
+def played(mutants, welcomes=False):
+    """Which of these mutants broke a rule, and how; `welcomes` whether they are what comes before any query."""
+    async def batch(begin):
+        cases = [Case(*one, begin + at) for at, one in enumerate(mutants[begin:begin + BATCH])]
+        changed = {value(case.text): case.mutant for case in cases}
+
+        def script(text):
+            return row(text) if welcomes or value(text) in town.node.made else changed.get(value(text), row(text))
+
+        town = Many(script)
+        if welcomes:
+            town.node.welcome = lambda link: cases[link - 1].mutant if link <= len(cases) else WELCOME
+        with anyio.fail_after(30):
+            async with town.open():
+                async with anyio.create_task_group() as tasks:
+                    for case in cases:
+                        tasks.start_soon(case.play, town)
+                left = await rest(town)
+        return [f"{case.mutant.name}: {case.wrong}" for case in cases if case.wrong] + left
+
+    return [wrong for begin in range(0, len(mutants), BATCH) for wrong in anyio.run(batch, begin)]
+
+
+def mutants(name, most, seed):
+    """`(method, mutant)` of one good conversation's messages, of queries and of inserts by turns."""
+    found = []
+    for turn, method in enumerate(("look", "book")):
+        plain = WELCOME if name == "welcome" else answers(text_of(0, method))[name]
+        changed = sampled(message_mutants(plain, [True] * len(plain), seed), most, seed)
+        found += [(method, one._replace(name=f"{name}, {one.name}")) for one in changed[turn::2]]
+    return found
+
+
+class NodesTest(unittest.TestCase):
+    def test_answers(self):
+        found = [one for at, name in enumerate(("row", "noted", "error", "full")) for one in mutants(name, 180, at)]
+        random.Random(1).shuffle(found)  # nodes that all say that they are full make the marshal push back
+        self.assertEqual(played(found), [])
+
+    def test_welcomes(self):
+        self.assertEqual(played(mutants("welcome", 200, 5), welcomes=True), [])
+
+
+class PlantedTest(unittest.TestCase):
+    """Marshals with a fault of their own: the rules must find it."""
+
+    def test_a_result_that_takes_anything(self):
+        class Anything(link.Result):
+            def message(self, tag, body):
+                self.ready = tag == b"Z"
+                if tag in (b"C", b"E"):
+                    self.verdict = b""
+                if not self.ready:
+                    self.parts += [pgwire.HEAD.pack(tag, 4 + len(body)), bytes(body)]
+
+        with unittest.mock.patch.object(link, "Result", Anything):
+            self.assertIn("where the node made", " ".join(played(mutants("row", 60, 6))))
+
+    def test_a_reset_that_counts_as_never_run(self):
+        def broke(one, why):
+            one._fail(link.Ending.NO_CONNECT)
+
+        with unittest.mock.patch.object(link.Link, "broke", broke):
+            self.assertIn("an INSERT ran again", " ".join(played(mutants("row", 60, 7))))
