--- a/brookreach/net/result.py
+++ b/brookreach/net/result.py
@@ -31,7 +31,9 @@
                 self.ready = True
                 return
             case b"E" if self.verdict is None:
-                self.verdict = error_state(body) or b"XX000"
+                # Behind the begin of a row, no state of an error proves that nothing ran.
+                self.verdict = error_state(body) if not self.parts else b""
+                self.verdict = self.verdict or b"XX000"
                 return
             case b"T" if not self.parts and one_column(body):
                 pass
--- /dev/null
+++ b/tests/test_endings_nodes.py
@@ -0,0 +1,239 @@
+"""What a node's connection may do in each of its states, and what is then proven of the pick on it."""
+
+import socket
+import unittest
+from contextlib import closing
+
+from brookreach import interface as ifc
+from brookreach.drills.stand import ROW
+from brookreach.net import pgwire
+
+from .helpers import ONCE, method
+from .peers_nodes import FAILED, FULL, INSERTED, SELECTED, Peer, Rig, Whole, row
+from .test_endings_picks import RELEASED, connected
+
+OK, ERROR, PUSHED, TIMEOUT, NO_CONNECT, RESET, _, _ = ifc.Ending
+LONG = "7" * 20_000_000  # a query of which the kernel takes a part only
+NOISE = b"".join([*pgwire.framed(b"N", b"SNOTICE\0Mhush\0\0"), *pgwire.framed(b"S", b"TimeZone\0hush\0")])
+
+
+def fin(node):
+    node.sock.shutdown(socket.SHUT_WR)
+
+
+def rst(node):
+    node.reset()
+
+
+def says(data):
+    return lambda node: node.send(data)
+
+
+def silent(node):
+    pass
+
+
+class CutTest(unittest.TestCase):
+    def test_answers_cut_at_each_byte(self):
+        """Whole is what has come up to the end of CommandComplete or of the error, no byte less."""
+        with closing(Rig()) as rig:
+            rpc = 0
+            for answer, ending, behind in ((SELECTED, OK, pgwire.READY), (FULL, PUSHED, pgwire.READY),
+                                           (FAILED, ERROR, pgwire.READY)):
+                for cut in range(len(answer)):
+                    for end in (fin, rst):
+                        rpc += 1
+                        rig.pick(rpc, rest_ms=1e9)
+                        node = rig.peer.taken_one()
+                        node.asked()
+                        node.send(answer[:cut])
+                        end(node)
+                        whole = cut >= len(answer) - len(behind)
+                        self.assertEqual((cut, rig.ending(rpc)), (cut, ending if whole else RESET))
+                        if ending == OK and whole:
+                            self.assertEqual(b"".join(rig.ended[rpc, 0].answer), b"".join(ROW))
+                        else:
+                            self.assertEqual(rig.ended[rpc, 0].answer, [])
+                        rig.until(lambda: rig.nodes.links == 0)
+                        node.sock.close()
+
+    def once(self, sent):
+        """A non-idempotent RPC whose first node sends this and ends: its answer's tag, picks written."""
+        with closing(Whole((method(ONCE, name="look"),))) as whole:
+            whole.listing([peer.listed() for peer in whole.peers], RELEASED)
+            whole.take(1, "look", write=True)
+            first = connected(whole)
+            first.send(pgwire.WELCOME)
+            first.asked()
+            first.send(sent)
+            fin(first)
+            second = []
+
+            def went_on():
+                second.extend(one for one in (peer.came() for peer in whole.peers) if one is not None)
+                return second or whole.answers
+
+            whole.until(went_on)
+            if second:
+                whole.until(second[0].started)
+                second[0].send(pgwire.WELCOME)
+                second[0].asked()
+                second[0].send(INSERTED)
+                whole.until(lambda: whole.answers)
+            return whole.answers[1], 1 + len(second)
+
+    def test_only_a_whole_pushback_gives_a_non_idempotent_rpc_another_pick(self):
+        failed = pgwire.error(b"XX000", "aborted")
+        for answer in (INSERTED, FULL):
+            for cut in range(len(answer) - len(pgwire.READY)):
+                self.assertEqual((cut, self.once(answer[:cut])), (cut, (failed, 1)))
+        for cut in range(len(FULL) - len(pgwire.READY), len(FULL) + 1):
+            self.assertEqual(self.once(FULL[:cut]), (INSERTED, 2))
+        for cut in range(len(INSERTED) - len(pgwire.READY), len(INSERTED) + 1):
+            self.assertEqual(self.once(INSERTED[:cut]), (INSERTED, 1))
+
+    def test_a_pushback_behind_the_begin_of_a_row_proves_nothing(self):
+        for begun in (b"".join(ROW[:2]), b"".join(ROW[:4])):
+            self.assertEqual(self.once(begun + FULL), (pgwire.error(b"XX000", "aborted"), 1))
+
+
+class StatesTest(unittest.TestCase):
+    """Each state of a connection, and all that its node may do in it."""
+
+    def met(self, rig, ending, node=None, act=silent, rpc=1):
+        act(node)
+        self.assertEqual(rig.ending(rpc), ending)
+        return rig
+
+    def test_dialing(self):
+        with closing(Rig(dial_s=0.05)) as rig:
+            full, fill = Peer(rig, backlog=0), [socket.socket() for _ in range(4)]
+            for one in fill:  # its queue is full: the next connection neither comes up nor is refused
+                one.setblocking(False)
+                one.connect_ex(full.sock.getsockname())
+            rig.nodes.listing(ifc.ListKind.FULL, [full.listed()])
+            rig.pick(1)
+            self.met(rig, NO_CONNECT)
+            full.close()
+            rig.pick(2)
+            self.met(rig, NO_CONNECT, rpc=2)  # refused
+            self.assertEqual(rig.nodes.links, 0)
+            for one in fill:
+                one.close()
+
+    def test_welcoming(self):
+        for act, ending in ((fin, NO_CONNECT), (rst, NO_CONNECT), (says(FULL), PUSHED), (says(FAILED), NO_CONNECT),
+                            (silent, NO_CONNECT), (says(SELECTED), NO_CONNECT), (says(b"\xff" * 9), NO_CONNECT)):
+            with closing(Rig(dial_s=0.05)) as rig:
+                rig.pick(1)
+                self.met(rig, ending, rig.peer.taken_one(welcome=False), act)
+                self.assertEqual(rig.nodes.links, 0)
+
+    def test_a_welcome_that_drips(self):
+        """A byte each time the last has been read, and never the last: the dial's time is not begun anew."""
+        with closing(Rig(dial_s=0.1)) as rig:
+            rig.pick(1)
+            node, sent = rig.peer.taken_one(welcome=False), 0
+            while (1, 0) not in rig.ended:
+                node.send(NOISE[sent % len(NOISE):][:1])
+                sent += 1
+                rig.turn()
+            self.assertEqual(rig.ending(1), NO_CONNECT)
+            self.assertEqual(node.queries(), [])
+
+    def test_query_half_written(self):
+        for act, ending in ((fin, NO_CONNECT), (rst, NO_CONNECT), (says(FULL), PUSHED), (says(FAILED), ERROR),
+                            (silent, NO_CONNECT)):
+            with closing(Rig()) as rig:
+                rig.pick(1, write=True, code=LONG, wait_ms=50.0 if act is silent else 5000.0)
+                node = rig.peer.taken_one()
+                rig.until(lambda rig=rig: rig.link().rest)
+                self.met(rig, ending, node, act)
+
+    def test_answer_half_read(self):
+        for act, ending in ((fin, RESET), (rst, RESET), (says(FAILED), ERROR), (says(FULL), ERROR), (silent, TIMEOUT)):
+            with closing(Rig()) as rig:
+                rig.pick(1, wait_ms=100.0 if act is silent else 5000.0)
+                node = rig.peer.taken_one()
+                node.asked()
+                node.send(b"".join(ROW[:4]))
+                rig.until(lambda rig=rig: rig.link().result.parts)
+                self.met(rig, ending, node, act)
+                self.assertEqual(rig.nodes.links, int(ending == ERROR))
+
+    def test_whole_but_not_ready(self):
+        for act in (fin, rst, says(FULL), says(SELECTED), silent):
+            with closing(Rig(dial_s=0.05)) as rig:
+                rig.pick(1)
+                node = rig.peer.taken_one()
+                node.asked()
+                node.send(b"".join(ROW))
+                self.met(rig, OK)
+                self.assertEqual((rig.idle(), len(rig.nodes.settling)), (0, 1))
+                act(node)
+                rig.until(lambda rig=rig: rig.nodes.sweep() or rig.nodes.links == 0)
+                self.assertEqual(len(rig.nodes.settling), 0)
+
+    def test_idle(self):
+        for act in (fin, rst, says(FULL), says(b"Z"), says(NOISE)):
+            with closing(Rig()) as rig:
+                rig.pick(1)
+                node = rig.peer.taken_one()
+                node.asked()
+                node.send(SELECTED)
+                rig.until(lambda rig=rig: rig.idle() == 1)
+                act(node)
+                rig.pick(2)  # the poller has not turned since
+                rig.peer.taken_one().asked()
+                self.assertEqual(rig.nodes.links, 1)
+
+    def test_notices_and_parameters_stay_here(self):
+        with closing(Rig()) as rig:
+            rig.pick(1)
+            node = rig.peer.taken_one(welcome=False)
+            node.send(NOISE + pgwire.WELCOME[:9] + NOISE + pgwire.WELCOME[9:])
+            node.asked()
+            node.send(NOISE + b"".join(ROW[:2]) + NOISE + b"".join(ROW[2:]) + NOISE + pgwire.READY)
+            self.assertEqual(rig.ending(1), OK)
+            self.assertEqual(b"".join(rig.ended[1, 0].answer), b"".join(ROW))
+
+
+class BytesTest(unittest.TestCase):
+    def test_an_answer_outlives_its_connections_buffer(self):
+        with closing(Rig()) as rig:
+            values, room = [bytes([n]) * 60_000 for n in range(1, 4)], rig.nodes.pool.free
+            rig.pick(1)
+            node = rig.peer.taken_one()
+            for rpc, value in enumerate(values, 1):
+                node.asked(rpc)
+                node.send(row(value))
+                self.assertEqual(rig.ending(rpc), OK)
+                rig.until(lambda: rig.idle() == 1)
+                if rpc < 3:
+                    rig.pick(rpc + 1)
+            for rpc, value in enumerate(values, 1):
+                self.assertEqual(b"".join(rig.ended[rpc, 0].answer) + pgwire.READY, row(value))
+            rig.link().drop()
+            self.assertEqual(rig.nodes.pool.free, room)
+
+    def test_large_answers_without_room(self):
+        """The pool has room for one: the other's pick ends as a reset, and its room comes back."""
+        with closing(Rig(large=100_000)) as rig:
+            rig.pick(1)
+            one = rig.peer.taken_one()
+            rig.pick(2)
+            other = rig.peer.taken_one()
+            one.asked()
+            other.asked()
+            answer = row(b"x" * 60_000)
+            one.send(answer[:-100])
+            rig.until(lambda: rig.nodes.pool.free < 60_000)
+            rig.until(lambda: not one.read() and rig.nodes.links == 2)
+            other.send(answer)
+            self.assertEqual(rig.ending(2), RESET)
+            one.send(answer[-100:])
+            self.assertEqual(rig.ending(1), OK)
+            self.assertEqual(b"".join(rig.ended[1, 0].answer) + pgwire.READY, answer)
+            rig.until(lambda: rig.idle() == 1)
+            rig.link().drop()
+            self.assertEqual(rig.nodes.pool.free, 100_000)
