Endings of nodes: three changes that the tests did not notice

Found by breaking the code on purpose, one line at a time, twenty times: a dial that is never given up (Link.expire without its end), a byte right behind an answer left on an idle connection (Link.park), and answers handed on as views of a buffer that is used again (Result.message). Now each fails a test: the picks wait for a minute while the dial has 50 ms, copies come in the same bytes as the answer, and values small enough that the first buffer holds them are compared after it was used again.

--- a/tests/test_endings_nodes.py
+++ b/tests/test_endings_nodes.py
@@ -125,14 +125,14 @@
         for act, ending in ((fin, NO_CONNECT), (rst, NO_CONNECT), (says(FULL), PUSHED), (says(FAILED), NO_CONNECT),
                             (silent, NO_CONNECT), (says(SELECTED), NO_CONNECT), (says(b"\xff" * 9), NO_CONNECT)):
             with closing(Rig(dial_s=0.05)) as rig:
-                rig.pick(1)
+                rig.pick(1, wait_ms=60_000.0)
                 self.met(rig, ending, rig.peer.taken_one(welcome=False), act)
                 self.assertEqual(rig.nodes.links, 0)
 
     def test_a_welcome_that_drips(self):
         """A byte each time the last has been read, and never the last: the dial's time is not begun anew."""
         with closing(Rig(dial_s=0.1)) as rig:
-            rig.pick(1)
+            rig.pick(1, wait_ms=60_000.0)
             node, sent = rig.peer.taken_one(welcome=False), 0
             while (1, 0) not in rig.ended:
                 node.send(NOISE[sent % len(NOISE):][:1])
@@ -200,8 +200,12 @@
 
 class BytesTest(unittest.TestCase):
     def test_an_answer_outlives_its_connections_buffer(self):
+        for size in (10, 400, 60_000):  # of one buffer that is used again, of one that grows and is given back
+            self.outlives([bytes([n]) * size for n in range(1, 4)])
+
+    def outlives(self, values):
         with closing(Rig()) as rig:
-            values, room = [bytes([n]) * 60_000 for n in range(1, 4)], rig.nodes.pool.free
+            room = rig.nodes.pool.free
             rig.pick(1)
             node = rig.peer.taken_one()
             for rpc, value in enumerate(values, 1):
--- a/tests/test_endings_picks.py
+++ b/tests/test_endings_picks.py
@@ -177,6 +177,17 @@
         for split in range(1, 6):
             self.second(INSERTED, split)
 
+    def test_bytes_right_behind_an_answer_end_its_connection(self):
+        for late in (b"T", SELECTED[:20], SELECTED, FULL):
+            with closing(Rig()) as rig:
+                rig.pick(1)
+                node = rig.peer.taken_one()
+                node.asked()
+                node.send(SELECTED + late)
+                self.assertEqual(rig.ending(1), ifc.Ending.OK)
+                node.left()
+                self.assertEqual(rig.nodes.links, 0)
+
     def test_a_connection_that_has_rested_is_used_again(self):
         with closing(Rig()) as rig:
             rig.pick(1)
