--- a/brookreach/net/driver.py
+++ b/brookreach/net/driver.py
@@ -21,6 +21,7 @@
 
 from . import pgwire
 from .client import Slot
+from .clock import Clock as Clock
 from .limits import Limits
 from .link import Listed, PickOutcome
 from .nodes import Nodes
@@ -29,19 +30,6 @@
 from .stream import Expiring, Poller
 
 
-class Clock:
-    """Unix time in ms, as nodes' starts are told, read once and carried on by the monotonic clock."""
-
-    def __init__(self) -> None:
-        self.offset_ms = (time.time() - time.monotonic()) * 1000.0
-
-    def at(self, monotonic: float) -> float:
-        return self.offset_ms + monotonic * 1000.0
-
-    def now(self) -> float:
-        return self.at(time.monotonic())
-
-
 class Open:
     """An RPC that has no final answer yet."""
 
