A tokened RPC past its window is no pushback

Seen: Desk.give_up pushed back each tokened RPC whose repeats all nodes drop, also when it may have run so long ago that they remember it no more. A pushback tells the client that trying again is harmless; there it runs twice. At fault: HARMLESS looks at the kind and the group only. Change: the window must still hold when the client may come back (`come_back`), else it is an abort, which promises nothing.

Where windows are long against deadlines (window 4 s, deadline 3 s) nothing changes but for a first pick that is half a second short of it; with short windows there are more aborts.

Without the mend test_past_its_window_it_is_no_pushback_either gets 53300 with a window of 200 ms.

--- a/brookreach/desk.py
+++ b/brookreach/desk.py
@@ -108,9 +108,9 @@
         self.acts.append(SetTimer(HOLD_MS, 4 * rpc.id + RPC_HELD))
 
     def give_up(self, now: float, rpc: Rpc) -> None:
-        come_back = min(self.permits.come_back_ms, 500.0) * self.permits.come_back
-        again = not may_have_run(rpc) or (rpc.facts.repeat, rpc.facts.group) in HARMLESS
-        self.acts.append(PushBack(rpc.id, come_back) if again else Abort(rpc.id))
+        its, later = rpc.facts, min(self.permits.come_back_ms, 500.0) * self.permits.come_back
+        again = not may_have_run(rpc) or (later < window_ms(rpc, now) and (its.repeat, its.group) in HARMLESS)
+        self.acts.append(PushBack(rpc.id, later) if again else Abort(rpc.id))
         self.finish(rpc)
 
     def finish(self, rpc: Rpc) -> None:
--- a/tests/test_endings_picks.py
+++ b/tests/test_endings_picks.py
@@ -55,6 +55,17 @@
     def test_within_its_window_it_is(self):
         self.assertEqual(self.repeat(5000.0, 0.0), (1, b"T"))
 
+    def test_past_its_window_it_is_no_pushback_either(self):
+        for window_ms, tag in ((200.0, b"XX000"), (5000.0, b"53300")):
+            with closing(Whole((replace(method(TOKEN, name="look"), token_ms=window_ms),))) as whole:
+                whole.listing([peer.listed() for peer in whole.peers], RELEASED)
+                whole.take(1, "look", wait=300)
+                node = connected(whole)
+                node.send(pgwire.WELCOME)
+                node.asked()
+                whole.until(lambda whole=whole: whole.answers)  # it has been silent until the deadline
+                self.assertIn(tag, whole.answers[1])
+
     def test_half_of_a_query_is_never_made_whole_past_the_window(self):
         with closing(Rig()) as rig:
             rig.pick(1, code="7" * 20_000_000, write_ms=60.0)  # more than the kernel takes at once
