A configuration that is not as worded: one line with the key's path and what stands there

Seen: with one key spoilt (each key; missing, null, wrong kind, negative, huge, not a number), 1,000 and more lines such as "the configuration is malformed: 'NoneType' object has no attribute 'rpartition'" or "lacks or misnames True" named no key; -1, NaN and infinity were taken as times of limits. Lists named the member's text nowhere. Lines: __main__.py Parts, net/limits.py limits_from, net/discovery.py _entry. Mend: what Parts and limits_from read goes through the same reader as the settings; an entry of a list that can't be read is named by its id, the key and what stands there.

--- a/brookreach/__main__.py
+++ b/brookreach/__main__.py
@@ -30,7 +30,7 @@
 from brookreach.net.discovery import BAD_JSON, Discovery
 from brookreach.net.driver import Clock, Driver
 from brookreach.net.limits import Limits, limits_from
-from brookreach.net.platform import Platform, news_from
+from brookreach.net.platform import PHASES, Platform, news_from
 from brookreach.net.report import Report, Writers
 from brookreach.net.stream import Poller, address
 
@@ -63,6 +63,20 @@
     return told
 
 
+def address_from(told: facts.Told, key: str) -> tuple[str, int]:
+    try:
+        return address(told.text(key))
+    except ValueError:
+        raise told.wrong(key, "an address with a port") from None
+
+
+def seed_from(told: facts.Told) -> int:
+    try:
+        return int(str(told.value("seed")), 16)
+    except ValueError:
+        raise told.wrong("seed", "a hexadecimal number") from None
+
+
 class Beside(Protocol):
     """A task of what the platform's `run` does not have. It must never raise, nor make a stop wait."""
 
@@ -78,33 +92,34 @@
 
     def __init__(self, told: Mapping[str, Any], lines: Writers | None = None):
         try:
-            settings = told["settings"]
-            start = facts.start_from(int(str(told["seed"]), 16), settings)
-            self.limits: Limits = limits_from(told["limits"], settings)
-            self.at = told["listen"]
-            address(self.at)
-            name = str(told["name"])
+            top = facts.Told(told, "configuration")
+            deployer, known, settings = top.object("deployer"), top.object("known"), top.object("settings")
+            start = facts.start_from(seed_from(top), settings.values)
+            self.limits: Limits = limits_from(top.value("limits"), settings.values)
+            name, self.at, _ = top.text("name"), top.text("listen"), address_from(top, "listen")
             self.report = Report(name, self.limits.lines, lines(name) if lines else None)
             self.poller = Poller(self.limits.sockets, self.fault)
             self.driver = Driver(start, self.limits, self.report, Clock(), self.poller)
             self.told, self.stops, self.serving = told, False, anyio.Event()
             self.beside: list[Beside] = []  # what `run` switches on
             chance = random.Random(start.seed)
-            self.discovery = Discovery(self.limits, self.report, settings["zones"], settings["skus"], chance,
-                                       self.driver.told)
+            self.discovery = Discovery(self.limits, self.report, settings.texts("zones"),
+                                       settings.texts("skus"), chance, self.driver.told)
             stages = len(start.rollout.stage_shares)
             self.platform = Platform(self.limits, self.report, [method.name for method in start.methods],
-                                     stages, address(told["deployer"]["address"]), chance, self.driver.put)
-            self.discovery.move(address(told["discovery"]))
-            self.news: ifc.RolloutNews = news_from(told["deployer"]["news"], stages)
+                                     stages, address_from(deployer, "address"), chance, self.driver.put)
+            self.discovery.move(address_from(top, "discovery"))
+            news = deployer.object("news")
+            news.count("version"), news.count("step", stages - 1), news.word("status", PHASES)
+            news.number("maxWeight"), news.number("observedAgoMs")
+            self.news: ifc.RolloutNews = news_from(news.values, stages)
             self.driver.begin()
-            self.discovery.read(told["known"], cached=True)
+            known.count("revision"), known.flag("complete"), [m.text("id") for m in known.objects("members")]
+            self.discovery.read(known.values, cached=True)
         except facts.FactsError as error:
             raise BadStart(str(error)) from None
-        except KeyError as error:
-            raise BadStart(f"the configuration lacks or misnames {error}") from None
         except BAD_JSON as error:
-            raise BadStart(f"the configuration is malformed: {error}") from None
+            raise BadStart(f"configuration.known: {type(error).__name__} {error}") from None
         self.driver.put(self.news)
 
     def fault(self, trace: str) -> None:
--- a/brookreach/facts.py
+++ b/brookreach/facts.py
@@ -54,8 +54,9 @@
 
     def value(self, key: str) -> Any:
         if key not in self.values:
-            within = self.path.partition(".")[2]
-            raise FactsError(f"settings lack or misname {(within and within + '.') + key!r}")
+            whole, _, within = self.path.partition(".")
+            lack = "lack or misname" if whole.endswith("s") else "lacks or misnames"
+            raise FactsError(f"{whole} {lack} {(within and within + '.') + key!r}")
         return self.values[key]
 
     def object(self, key: str) -> Told:
@@ -94,6 +95,13 @@
                 raise FactsError(f"{self.path}.{key}[{at}] is {_shown(item)}, not a number" + _range(most))
         return tuple(float(item) for item in items)
 
+    def texts(self, key: str) -> list[str]:
+        items = self.items(key)
+        for at, item in enumerate(items):
+            if not isinstance(item, str):
+                raise FactsError(f"{self.path}.{key}[{at}] is {_shown(item)}, not a text")
+        return items
+
     def flag(self, key: str) -> bool:
         value = self.value(key)
         if not isinstance(value, bool):
--- a/brookreach/net/discovery.py
+++ b/brookreach/net/discovery.py
@@ -43,8 +43,10 @@
     def __init__(self, limits: Limits, report: Report, zones: list[str], kinds: list[str],
                  chance: random.Random, told: Callable[[ifc.NodeList, list[Listed]], None]):
         self.limits, self.report, self.told = limits, report, told
-        self.zones = {name: at for at, name in enumerate(zones)}
-        self.kinds = {name: at for at, name in enumerate(kinds)}
+        self.reads: dict[str, Callable[[Any], Any]] = {  # of an entry, each key that is read
+            "phase": STATES.__getitem__, "up_since_ms": float, "size": float, "revision_no": int, "cell": int,
+            "locality": {name: at for at, name in enumerate(zones)}.__getitem__,
+            "flavor": {name: at for at, name in enumerate(kinds)}.__getitem__, "host_port": address}
         self.numbers: dict[str, int] = {}  # of the ids that are listed
         self.made = 0  # numbers given out so far
         self.version = 0
@@ -68,7 +70,7 @@
             raise ValueError("complete is no boolean")
         ids = [str(one["id"]) for one in listing["members"]]
         if len(set(ids)) < len(ids):
-            raise ValueError("one id twice")
+            raise ValueError("members: one id twice")
         numbers, made = ({} if whole else dict(self.numbers)), self.made
         listed, ready = [], set() if whole else self.ready - set(ids)
         behind = not cached and version < self.highest
@@ -77,7 +79,10 @@
             if not number:
                 number = made = made + 1
             numbers[name] = number
-            listed.append(self._entry(number, one, behind and name not in self.ready))
+            try:
+                listed.append(self._entry(number, one, behind and name not in self.ready))
+            except BAD_JSON as error:
+                raise ValueError(f"members: {name!r:.60}: {error}") from None
             if listed[-1].entry.state == ifc.NodeState.READY:
                 ready.add(name)
             if listed[-1].entry.state == ifc.NodeState.GONE:
@@ -93,15 +98,21 @@
             self.told(ifc.NodeList(kind, version, tuple(one.entry for one in listed)), listed)
 
     def _entry(self, number: int, one: Mapping[str, Any], drained: bool) -> Listed:
-        state, started, size = STATES[one["phase"]], float(one["up_since_ms"]), float(one["size"])
+        told: dict[str, Any] = {}
+        for key, read in self.reads.items():
+            try:
+                told[key] = read(one[key])
+            except BAD_JSON as error:
+                raise ValueError(f"{key}: {one.get(key)!r:.60}: {type(error).__name__}") from None
+        started, size, state = told["up_since_ms"], told["size"], told["phase"]
         if not 0.0 <= started < math.inf or not 0.0 < size < math.inf:
-            raise ValueError("up_since_ms or size out of range")
+            raise ValueError(f"up_since_ms {started} or size {size} out of range")
+        if drained and state == ifc.NodeState.READY:
+            state = ifc.NodeState.DRAINING
         entry = ifc.NodeEntry(
-            node=number, state=ifc.NodeState.DRAINING if drained and state == ifc.NodeState.READY else state,
-            started_ms=started, build=int(one["revision_no"]),
-            zone=self.zones[one["locality"]], cell=int(one["cell"]), kind=self.kinds[one["flavor"]],
-            size=size)
-        return Listed(entry, address(one["host_port"]))
+            node=number, state=state, started_ms=started, build=told["revision_no"], zone=told["locality"],
+            cell=told["cell"], kind=told["flavor"], size=size)
+        return Listed(entry, told["host_port"])
 
     def move(self, at: tuple[str, int]) -> None:
         """Ask there from now on; what is under way elsewhere is given up."""
--- a/brookreach/net/limits.py
+++ b/brookreach/net/limits.py
@@ -11,9 +11,9 @@
 from dataclasses import dataclass
 from typing import Any
 
-from brookreach.facts import FactsError, to_ms
+from brookreach.facts import LISTS_ON_REQUEST, FactsError, Told
 
-KIB = 1024
+KIB, MOST_MB = 1024, 1e9
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,37 +65,34 @@
 
 
 def limits_from(limits: Mapping[str, Any], told: Mapping[str, Any]) -> Limits:
-    """`limits` as the configuration words them, `told` the settings."""
-    try:
-        allowed, sockets, memory_mb = told["allowed"], int(limits["sockets"]), float(limits["memory_mb"])
-        longest = max(to_ms(m["hardLimitUs"]) for m in told["classes"]) / 1000.0
-        # A connection costs a descriptor and, at rest, some 4 KiB; a quarter of the memory is for these, a
-        # sixteenth each for large messages of clients and of nodes. Descriptors kept back: the epoll,
-        # standard streams, the listener, discovery, the feed, votes under way, one just accepted.
-        memory = int(memory_mb * 1024 * KIB)
-        room = min(sockets - 24, memory // 4 // (8 * KIB))
-        if room < 16:
-            raise ValueError("sockets or memory_mb leave no room for connections")
-        # One service answers all marshals in turn and may take 2 s for it: who leaves the queue before that
-        # has used it for nothing. What one marshal may ask in a second, all together may not. An agent
-        # answers at once, for nothing, or is silent while discovery is down; what it has then counts as told,
-        # asked or not: it is asked again so often that a drain's grace is not over before it is heard.
-        # A watch of the service that is late may have fallen silent, and what it misses counts as told 2 s
-        # past its wait: the next one is opened before the late one is left, and has 1.5 s for its answer.
-        service = told["registryMode"] == "ask"
-        within = to_ms(told["guarantees"]["askWithinUs"]) / 1000.0
-        return Limits(
-            one_service=service, watch_s=within if service else 2.0, late_s=0.5 if service else math.inf,
-            answer_s=3.0 if service else 1.5,
-            whole_s=3.0 if service else 0.15, first_s=0.0 if service else 0.5,
-            refused_s=min(0.1 * told["balancers"], 0.5 * within) if service else 0.04,
-            refused_most_s=2.0 * within if service else 0.04,
-            clients=room * 11 // 20, links=room * 9 // 20, large=memory // 16,
-            dial_s=to_ms(allowed["dialTimeoutUs"]) / 1000.0,
-            idle_s=0.8 * to_ms(allowed["keepaliveUs"]) / 1000.0,
-            reply_s=to_ms(told["familyInfo"]["answerWaitUs"]) / 1000.0,
-            drain_s=max(3.0, longest) + 0.5)
-    except KeyError as error:
-        raise FactsError(f"limits or settings lack {error}") from None
-    except (TypeError, ValueError) as error:
-        raise FactsError(f"limits are malformed: {error}") from None
+    """`limits` as the configuration words them, `told` the settings. Raises FactsError."""
+    settings, given = Told(told, "settings"), Told(limits, "limits")
+    allowed, sockets = settings.object("allowed"), given.count("sockets")
+    longest = max([one.ms("hardLimitUs") for one in settings.objects("classes")], default=0.0) / 1000.0
+    # A connection costs a descriptor and, at rest, some 4 KiB; a quarter of the memory is for these, a
+    # sixteenth each for large messages of clients and of nodes. Descriptors kept back: the epoll,
+    # standard streams, the listener, discovery, the feed, votes under way, one just accepted.
+    memory = int(given.number("memory_mb", MOST_MB) * 1024 * KIB)
+    room = min(sockets - 24, memory // 4 // (8 * KIB))
+    if room < 16:
+        raise FactsError(f"limits.sockets {sockets} or limits.memory_mb {memory / KIB / KIB:g} leave no "
+                         "room for connections")
+    # One service answers all marshals in turn and may take 2 s for it: who leaves the queue before that
+    # has used it for nothing. What one marshal may ask in a second, all together may not. An agent
+    # answers at once, for nothing, or is silent while discovery is down; what it has then counts as told,
+    # asked or not: it is asked again so often that a drain's grace is not over before it is heard.
+    # A watch of the service that is late may have fallen silent, and what it misses counts as told 2 s
+    # past its wait: the next one is opened before the late one is left, and has 1.5 s for its answer.
+    service = settings.word("registryMode", LISTS_ON_REQUEST)
+    within = settings.object("guarantees").ms("askWithinUs") / 1000.0
+    return Limits(
+        one_service=service, watch_s=min(within, 60.0) if service else 2.0,  # it waits 60 s at most
+        late_s=0.5 if service else math.inf, answer_s=3.0 if service else 1.5,
+        whole_s=3.0 if service else 0.15, first_s=0.0 if service else 0.5,
+        refused_s=min(0.1 * settings.count("balancers"), 0.5 * within) if service else 0.04,
+        refused_most_s=2.0 * within if service else 0.04,
+        clients=room * 11 // 20, links=room * 9 // 20, large=memory // 16,
+        dial_s=allowed.ms("dialTimeoutUs") / 1000.0,
+        idle_s=0.8 * allowed.ms("keepaliveUs") / 1000.0,
+        reply_s=settings.object("familyInfo").ms("answerWaitUs") / 1000.0,
+        drain_s=max(3.0, longest) + 0.5)
