--- a/brookreach/charts.py
+++ b/brookreach/charts.py
@@ -14,7 +14,7 @@
 
 def warmth(entry: NodeEntry, now: float, guards: Guards) -> float:
     """The share of its capacity that a node has at least: it rises evenly at the slowest."""
-    age = now - entry.started_ms if entry.started_ms else math.inf
+    age = max(0.0, now - entry.started_ms) if entry.started_ms else math.inf
     return min(1.0, guards.cold_share + (1.0 - guards.cold_share) * age / guards.warm_ms)
 
 
--- /dev/null
+++ b/tests/test_start_ahead.py
@@ -0,0 +1,53 @@
+"""A node whose start is told as still to come, as a clock that runs ahead tells it, is a cold one and no more."""
+
+import json
+import time
+import unittest
+
+import anyio
+
+from .helpers import Town
+
+
+class Ahead(Town):
+    """Its node starts `ahead_ms` from now; there may be another one, which is warm."""
+
+    def __init__(self, ahead_ms, beside):
+        super().__init__()
+        self.beside = beside
+        self.started = time.time() * 1000.0 + ahead_ms
+
+    def members(self):
+        told = json.loads(super().members())
+        one = told["members"][0]
+        told["members"] = [one | {"up_since_ms": self.started}] + [one | {"id": "s-2"}] * self.beside
+        return json.dumps(told)
+
+
+class AheadTest(unittest.TestCase):
+    def answers(self, ahead_ms, beside):
+        town = Ahead(ahead_ms, beside)
+
+        async def story():
+            with anyio.fail_after(30):
+                async with town.open():  # a module that fails is a fault: it ends the test
+                    client = await town.client()
+                    await town.answer(client)
+                    await town.ask(client, "row")
+                    await town.ask(client, "row")
+
+        anyio.run(story)
+        return [line for line in town.trace if line.startswith("look")]
+
+    def test_it_counts_as_started_just_now(self):
+        now = self.answers(0.0, beside=False)
+        for ahead_ms in (2500.0, 60_000.0, 1e21):
+            self.assertEqual(self.answers(ahead_ms, beside=False), now, ahead_ms)
+
+    def test_a_warm_one_beside_it_serves(self):
+        for ahead_ms in (2500.0, 60_000.0, 1e21):
+            self.assertEqual(self.answers(ahead_ms, beside=True), ["look 'row': row 9f03, complete"] * 2, ahead_ms)
+
+
+if __name__ == "__main__":
+    unittest.main()
