--- a/brookreach/net/discovery.py
+++ b/brookreach/net/discovery.py
@@ -9,11 +9,13 @@
 import json
 import math
 import random
+import time
 import traceback
 from collections.abc import Callable, Mapping
 from typing import Any
 
 import anyio
+from anyio.abc import TaskGroup
 
 from brookreach import interface as ifc
 
@@ -30,6 +32,13 @@
 BAD_JSON = (LookupError, TypeError, ValueError, AttributeError, OverflowError, RecursionError)
 
 
+class Late:
+    """The wait until a watch is late, and whether the next one was opened then."""
+
+    def __init__(self) -> None:
+        self.waited, self.followed = anyio.CancelScope(), False
+
+
 class Discovery:
     def __init__(self, limits: Limits, report: Report, zones: list[str], kinds: list[str],
                  chance: random.Random, told: Callable[[ifc.NodeList, list[Listed]], None]):
@@ -39,6 +48,9 @@
         self.numbers: dict[str, int] = {}  # of the ids that are listed
         self.made = 0  # numbers given out so far
         self.version = 0
+        self.ready: set[str] = set()  # ids listed as ready
+        # The highest version told; since when lists are below it; whether the whole list is to be asked for.
+        self.highest, self.behind_at, self.doubted = 0, math.inf, False
         self.at: tuple[str, int] | None = None
         self.asking: anyio.CancelScope | None = None  # all that is under way at the present address
         self.heard = anyio.Event()  # a list that was asked for has come
@@ -46,7 +58,11 @@
         self.backoff = Backoff(limits.refused_s, limits.refused_most_s, chance)  # before it is asked again
 
     def read(self, listing: Mapping[str, Any], cached: bool = False) -> None:
-        """One list or change of it, as discovery words it; all of it is taken or nothing."""
+        """One list or change of it, as discovery words it; all of it is taken or nothing.
+
+        One that is older than what was told already, as another agent may give it, takes no drain back: ready
+        is then what both call ready.
+        """
         whole, version = listing["complete"], int(listing["revision"])
         if not isinstance(whole, bool):
             raise ValueError("complete is no boolean")
@@ -54,26 +70,35 @@
         if len(set(ids)) < len(ids):
             raise ValueError("one id twice")
         numbers, made = ({} if whole else dict(self.numbers)), self.made
-        listed = []
+        listed, ready = [], set() if whole else self.ready - set(ids)
+        behind = not cached and version < self.highest
         for name, one in zip(ids, listing["members"], strict=True):
             number = self.numbers.get(name, 0)
             if not number:
                 number = made = made + 1
             numbers[name] = number
-            listed.append(self._entry(number, one))
+            listed.append(self._entry(number, one, behind and name not in self.ready))
+            if listed[-1].entry.state == ifc.NodeState.READY:
+                ready.add(name)
             if listed[-1].entry.state == ifc.NodeState.GONE:
                 del numbers[name]  # forgotten; should the id come back, it is a new node
-        self.numbers, self.made, self.version = numbers, made, version
+        self.numbers, self.made, self.version, self.ready = numbers, made, version, ready
+        if behind:
+            self.behind_at = min(self.behind_at, time.monotonic())
+        elif not cached:
+            self.highest, self.behind_at = version, math.inf
+        self.doubted = self.doubted and not whole
         kind = ifc.ListKind.CACHED if cached else ifc.ListKind.FULL if whole else ifc.ListKind.DELTA
         if listed or whole:
             self.told(ifc.NodeList(kind, version, tuple(one.entry for one in listed)), listed)
 
-    def _entry(self, number: int, one: Mapping[str, Any]) -> Listed:
-        started, size = float(one["up_since_ms"]), float(one["size"])
+    def _entry(self, number: int, one: Mapping[str, Any], drained: bool) -> Listed:
+        state, started, size = STATES[one["phase"]], float(one["up_since_ms"]), float(one["size"])
         if not 0.0 <= started < math.inf or not 0.0 < size < math.inf:
             raise ValueError("up_since_ms or size out of range")
         entry = ifc.NodeEntry(
-            node=number, state=STATES[one["phase"]], started_ms=started, build=int(one["revision_no"]),
+            node=number, state=ifc.NodeState.DRAINING if drained and state == ifc.NodeState.READY else state,
+            started_ms=started, build=int(one["revision_no"]),
             zone=self.zones[one["locality"]], cell=int(one["cell"]), kind=self.kinds[one["flavor"]],
             size=size)
         return Listed(entry, address(one["host_port"]))
@@ -90,31 +115,67 @@
         """Until cancelled. What is lost in between comes with the whole list that a new watch begins with or,
         where one service has all marshals to serve, with what has changed since the list that is held."""
         while True:
-            at = self.at
             with anyio.CancelScope() as self.asking:
                 await anyio.sleep(self.backoff.pause())
+                async with anyio.create_task_group() as calls:
+                    calls.start_soon(self._connection, self.at, calls)
+
+    async def _connection(self, at: tuple[str, int] | None, calls: TaskGroup,
+                          before: anyio.CancelScope | None = None) -> None:
+        """The calls on one connection, until it is lost or the next one goes on; `before` are those of the
+        late one that it was opened beside, which is left once this one has heard."""
+        with anyio.CancelScope() as all_calls:
+            try:
+                assert at is not None
+                with anyio.fail_after(self.limits.whole_s):
+                    http = await Http.connect(at)
                 try:
-                    assert at is not None
-                    with anyio.fail_after(self.limits.whole_s):
-                        http = await Http.connect(at)
-                    try:
-                        if not (self.numbers and self.limits.one_service):  # what changed since costs it less
-                            await self._call(http, PATH, self.limits.whole_s)
-                        while True:
-                            wait = self.limits.watch_s
-                            target = f"{PATH}?after={self.version}&wait_ms={round(wait * 1000.0)}"
-                            await self._call(http, target, wait + self.limits.answer_s)
-                            self.backoff.served()  # it serves: what breaks now is mended at once
-                            self.lost = False
-                    finally:
-                        await http.close()
-                except (*LOST, TimeoutError, *BAD_JSON) as error:
-                    if not self.lost:  # one line, however often it is asked again
-                        what = f"{type(error).__name__} {error}"
-                        self.report.say("discovery", f"{at}: lost, asked again: {what}")
-                    self.lost = True
-                except Exception:  # a defect must not end the program: the next try may meet better bytes
-                    self.report.say("fault", traceback.format_exc(limit=-2))
+                    # Of one service: what has changed since, which costs it less.
+                    if self.doubted or not (self.numbers and self.limits.one_service):
+                        await self._call(http, PATH, self.limits.whole_s)
+                    followed = False
+                    while not followed:
+                        version, begun = self.version, anyio.current_time()
+                        followed = await self._watch(http, at, calls, all_calls)
+                        if before is not None:
+                            before.cancel()
+                        self.backoff.served()  # it serves: what breaks now is mended at once
+                        self.lost = False
+                        if self.version == version and anyio.current_time() - begun < self.limits.again_s:
+                            await anyio.sleep(self.limits.again_s)  # it does not wait: not asked in a spin
+                finally:
+                    await http.close()
+            except (*LOST, TimeoutError, *BAD_JSON) as error:
+                if not self.lost:  # one line, however often it is asked again
+                    what = f"{type(error).__name__} {error}"
+                    self.report.say("discovery", f"{at}: lost, asked again: {what}")
+                self.lost = True
+            except Exception:  # a defect must not end the program: the next try may meet better bytes
+                self.report.say("fault", traceback.format_exc(limit=-2))
+
+    async def _watch(self, http: Http, at: tuple[str, int] | None, calls: TaskGroup,
+                     all_calls: anyio.CancelScope) -> bool:
+        """One watch; whether it was so late that the next one is open already, on a connection of its own."""
+        wait, late = self.limits.watch_s, Late()
+        if self.limits.late_s < self.limits.answer_s:
+            calls.start_soon(self._beside, at, calls, all_calls, late)
+        try:
+            target = f"{PATH}?after={self.version}&wait_ms={round(wait * 1000.0)}"
+            await self._call(http, target, wait + self.limits.answer_s)
+        finally:
+            late.waited.cancel()
+        return late.followed
+
+    async def _beside(self, at: tuple[str, int] | None, calls: TaskGroup, all_calls: anyio.CancelScope,
+                      late: Late) -> None:
+        """Opens the next watch beside one that is late. Of a late one it can't be told whether it has fallen
+        silent or waits in the queue of the service: left too soon it has used that for nothing, kept too long
+        it is a drain not heard. Whichever answers, the other is the next watch: no call is made in vain."""
+        with late.waited:
+            await anyio.sleep(self.limits.watch_s + self.limits.late_s)
+            late.followed = True
+        if late.followed:
+            await self._connection(at, calls, all_calls)
 
     async def _call(self, http: Http, target: str, wait_s: float) -> None:
         with anyio.fail_after(wait_s):
@@ -124,3 +185,6 @@
             raise NotHttp(f"status {status}")
         self.read(json.loads(body))
         self.heard.set()
+        if time.monotonic() - self.behind_at > self.limits.behind_s:  # it is not late: it counts anew
+            self.highest, self.behind_at, self.doubted = 0, math.inf, True
+            raise NotHttp(f"its versions stay below what was told: now {self.version}")
