--- a/tests/mutation_rig.py
+++ b/tests/mutation_rig.py
@@ -221,7 +221,8 @@
             await anyio.lowlevel.checkpoint()
     if ending == RESET:
         raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
-        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        with contextlib.suppress(OSError):  # the marshal was first to end it, and it is closed already
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         await anyio.aclose_forcefully(stream)
     elif ending == FIN:
         await stream.send_eof()
