Discovery: an id that is no text makes the list malformed, not a new node

Seen by lists with one thing changed: {"id": null}, [], {}, numbers and true were taken by str() as the names "None", "[]" and so on. The node that was listed under its real id was retired with its connections and health, and a phantom at the same address took its place, as a new node. Discovery.read() at fault; such a list is now refused whole, as any other malformed one, and the last good list stays.

--- a/brookreach/net/discovery.py
+++ b/brookreach/net/discovery.py
@@ -66,7 +66,9 @@
         whole, version = listing["complete"], int(listing["revision"])
         if not isinstance(whole, bool):
             raise ValueError("complete is no boolean")
-        ids = [str(one["id"]) for one in listing["members"]]
+        ids = [one["id"] for one in listing["members"]]
+        if any(not isinstance(name, str) for name in ids):
+            raise ValueError("an id is no text")
         if len(set(ids)) < len(ids):
             raise ValueError("one id twice")
         numbers, made = ({} if whole else dict(self.numbers)), self.made
