--- a/tests/mutation_rig.py
+++ b/tests/mutation_rig.py
@@ -217,6 +217,8 @@
     one = next(iter(theirs(town, *here)), None) if len(pieces) > 1 else None
     for piece in pieces:
         await stream.send(piece)
+        for _ in range(3 if len(pieces) > 1 else 0):  # discovery's and the platform's reader is a task of its own
+            await anyio.lowlevel.checkpoint()
         while one is not None and not (one.closed or one.quiet()):
             await anyio.lowlevel.checkpoint()
     if ending == RESET:
--- /dev/null
+++ b/tests/mutation_services.py
@@ -0,0 +1,192 @@
+"""What discovery and the platform say, read by the tests' own readers, and a town where both say what is scripted."""
+
+import contextlib
+import dataclasses
+import json
+import math
+import random
+
+import anyio
+
+from brookreach import interface as ifc
+from brookreach.drills.stand import GONE
+from brookreach.net import pgwire
+from brookreach.net.backoff import Backoff
+from brookreach.net.discovery import STATES
+from brookreach.net.platform import PHASES
+from brookreach.net.stream import address
+
+from .helpers import NEWS, Town
+from .mutants import CHUNKED, SILENCE, Mutant, chunk, http
+from .mutation_rig import FAILED, ROW, Peer, ScriptedNode, asked, row, say, units
+
+MEMBER = {"id": "s-1", "host_port": "", "locality": "a", "flavor": "std", "cell": 0, "phase": "active", "size": 1.0,
+          "up_since_ms": 0, "revision_no": 7}
+TALLY = {"version": 7, "kind": "look", "requests": 57, "failures": 2, "avgMs": 18.5, "observedAgoMs": 900}
+
+
+def number(one, least=-math.inf):
+    """A figure; one in quotes, true and false may be read as theirs."""
+    if not least <= float(one) < math.inf:
+        raise ValueError(one)
+    return float(one)
+
+
+def whole(one):
+    return int(one)
+
+
+def listing(text, before):
+    """What a list or change of it says to who had `before`: its version and members; None where it can't be read."""
+    try:
+        told, found = json.loads(text), {}
+        for one in told["members"]:
+            if not isinstance(one["id"], str) or one["id"] in found or one["locality"] not in ("a", "b"):
+                return None
+            if one["flavor"] != "std" or number(one["size"]) <= 0.0:
+                return None
+            found[one["id"]] = (STATES[one["phase"]], address(one["host_port"]), number(one["up_since_ms"], 0.0),
+                                whole(one["revision_no"]), whole(one["cell"]), number(one["size"]))
+        if not isinstance(told["complete"], bool):
+            return None
+        all_told = found if told["complete"] else {**before[1], **found}
+        return whole(told["revision"]), {name: one for name, one in all_told.items() if one[0] != ifc.NodeState.GONE}
+    except (LookupError, TypeError, ValueError, AttributeError, OverflowError, RecursionError):
+        return None
+
+
+def held(town):
+    """The same of the marshal."""
+    told, endpoints = town.parts.discovery, town.parts.driver.nodes.endpoints
+    found = {name: endpoints[at].listed for name, at in told.numbers.items()}
+    return told.version, {name: (one.entry.state, one.address, one.entry.started_ms, one.entry.build, one.entry.cell,
+                                 one.entry.size) for name, one in found.items()}
+
+
+def line(text):
+    """What a line of the feed tells, as the module hears it; () for what tells nothing, None for what can't be read."""
+    try:
+        told = json.loads(text)
+        kind, one = told.get("type"), told.get("object")
+        if kind == "ROLLOUT":
+            cap = number(one["maxWeight"], 0.0)
+            if not 0 <= whole(one["step"]) < 2:
+                return None
+            return ("news", whole(one["step"]), cap, PHASES[one["status"]], number(one["observedAgoMs"], 0.0),
+                    whole(one["version"]))
+        if kind == "SAMPLE":
+            age, failed, count = number(one["observedAgoMs"], 0.0), whole(one["failures"]), whole(one["requests"])
+            if not 0 <= failed <= count:
+                return None
+            return ("tally", whole(one["version"]), ("look", "book").index(one["kind"]), age, failed, count,
+                    number(one["avgMs"], 0.0))
+        return ()
+    except (LookupError, TypeError, ValueError, AttributeError, OverflowError, RecursionError):
+        return None
+
+
+def heard(event):
+    if isinstance(event, ifc.Tally):
+        return ("tally", event.build, event.method, event.age_ms, event.failed, event.count, event.mean_ms)
+    return ("news", event.stage, event.cap, event.phase, event.age_ms, event.build)
+
+
+class ScriptedHttp:
+    """Answers each call with the `Mutant` that `answer(method, target, body)` gives."""
+
+    def __init__(self, town, answer):
+        self.town, self.answer = town, answer
+
+    async def serve(self, stream):
+        with contextlib.suppress(*GONE):
+            async with stream:
+                data = b""
+                while True:
+                    while b"\r\n\r\n" not in data:
+                        data += await stream.receive()
+                    head, _, data = data.partition(b"\r\n\r\n")
+                    size = sum(int(line[15:]) for line in head.lower().split(b"\r\n") if line[:15] == b"content-length:")
+                    while len(data) < size:
+                        data += await stream.receive()
+                    body, data = data[:size], data[size:]
+                    method, target, _ = head.split(b"\r\n")[0].decode().split()
+                    said = self.answer(method, target, body)
+                    await say(self.town, stream, said.pieces, said.ending)
+
+
+class Services(Town):
+    """A town whose discovery and platform say what is scripted, each answer at once.
+
+    `lists` are `(mutant, text, exact)`: after each comes a good whole list, and what the marshal holds when it asks
+    for that must be what it had or, where it may be read, what `text` says; `exact` where only one of both is right.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.node = ScriptedNode(self, row)
+        self.discovery, self.platform = ScriptedHttp(self, self.list), ScriptedHttp(self, self.tell)
+        self.rows = [0, 0]  # RPCs answered with a row, RPCs
+        self.lists, self.feeds, self.said, self.wrong = [], [], [], []
+        self.allowed, self.name, self.fed, self.ballot, self.good = None, "", 0, None, False
+
+    def members(self, **changed):
+        one = MEMBER | {"host_port": self.at["node"]}
+        return json.dumps({"revision": self.revision, "complete": True, "members": [one, one | {"id": "s-2"}]})
+
+    def list(self, method, target, body):
+        before = held(self)
+        if self.allowed is not None and before not in self.allowed:
+            self.wrong.append(f"{self.name}: holds {before}, not one of {self.allowed}")
+        self.good = not self.good
+        told = self.parts.discovery  # that versions go back is test_endings_versions.py's
+        told.highest, told.behind_at, told.doubted = 0, math.inf, False
+        if self.good or not self.lists:
+            self.revision += 1
+            self.name, text = "a good list", self.members()
+            self.allowed = [listing(text, before)]
+            ending = SILENCE if not self.lists and "after=" in target else ""
+            return Mutant("good", () if ending else (http(text.encode()),), ending)
+        mutant, text, exact = self.lists.pop(0)
+        read = None if text is None else listing(text, before)
+        self.name, self.allowed = mutant.name, [read] if exact and read else [before, read]
+        return mutant
+
+    def tell(self, method, target, body):
+        if method == "POST":
+            return self.ballot
+        self.fed += 1
+        if self.fed <= len(self.feeds):
+            return self.feeds[self.fed - 1]
+        good = json.dumps({"type": "ROLLOUT", "object": NEWS}).encode() + b"\n"
+        return Mutant("good", (http(chunk(good), headers=CHUNKED),), SILENCE)
+
+    def quick(self):
+        """Times of silence as short as a test wants them; what the platform tells is noted."""
+        parts, put = self.parts, self.parts.platform.put
+        parts.discovery.limits = dataclasses.replace(parts.limits, watch_s=0.1, answer_s=0.1)
+        parts.platform.limits = dataclasses.replace(parts.limits, sign_s=0.3, reply_s=0.2)
+        parts.platform.backoff = Backoff(0.001, 0.002, random.Random(1))
+
+        def noted(event):
+            self.said.append(event)
+            put(event)
+
+        parts.platform.put = noted
+
+    async def clients(self):
+        """Clients' RPCs go on being answered, whatever discovery and the platform say: nearly all with rows. One whose
+        two picks meet changes of the list, or no node that is listed, may be pushed back."""
+        peer, at = await Peer.met(self), 0
+        await peer.write(pgwire.hello("portal", "crm"))
+        while True:
+            at, begun = at + 1, len(peer.came)
+            await peer.write(asked(b"SELECT data FROM facts /* id=%x,c=look,d=2900 */" % at))
+            await peer.settled()
+            said = units(peer.came[begun:], at == 1)
+            self.rows[0] += [kind for kind, _ in said] == [ROW]
+            self.rows[1] += 1
+            if said and said[0] == (FAILED, b"53300"):
+                said = [(ROW, b"")]
+            if [kind for kind, _ in said] != [ROW]:
+                self.wrong.append(f"a client was answered {said} while: {self.name}")
+            await anyio.sleep(0.005)
--- /dev/null
+++ b/tests/test_mutation_services.py
@@ -0,0 +1,106 @@
+"""What discovery and the platform say with one thing changed, over real sockets: taken whole, or nothing of it."""
+
+import json
+import random
+import unittest
+import unittest.mock
+
+import anyio
+
+from brookreach import interface as ifc
+from brookreach.net.discovery import Discovery
+
+from .helpers import NEWS, until
+from .mutants import FIN, Mutant, answer_mutants
+from .mutation_services import MEMBER, Services, heard, line
+
+NOTHING = (Mutant("an end", (), FIN), None, True)
+
+
+def played(story):
+    """What was wrong in a town of services."""
+    town = Services()
+
+    async def play():
+        with anyio.fail_after(60):
+            async with town.open():
+                town.quick()
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(town.clients)
+                    await story(town)
+                    tasks.cancel_scope.cancel()
+
+    anyio.run(play)
+    few = town.rows[0] < 0.9 * town.rows[1] or not town.rows[1]
+    return town.wrong + ([f"{town.rows}: rows, RPCs"] if few else [])
+
+
+class DiscoveryTest(unittest.TestCase):
+    def lists(self, name, change, first=False, most=80):
+        """A list or a change of it, spoilt in each way, as a watch's answer or as that of a `first` call."""
+        async def story(town):
+            member = MEMBER | {"host_port": town.at["node"]}
+            members = [] if change is None else [member | change, member | {"id": "s-2"}]
+            body = json.dumps({"revision": 1 << 40, "complete": first, "members": members}).encode()
+            found = answer_mutants(body, len(name), most)
+            for mutant, text in random.Random(len(name)).sample(found, most):
+                mutant = mutant._replace(name=f"{name}, {mutant.name}")
+                exact = ", json: " in mutant.name or mutant.name.endswith(("single bytes", "of one byte"))
+                town.lists += [NOTHING, (mutant, text, exact)] if first else [(mutant, text, exact)]
+            await until(lambda: not town.lists and town.name == "a good list")
+        return played(story)
+
+    def test_whole_lists(self):
+        self.assertEqual(self.lists("whole list", {}, first=True), [])
+
+    def test_changes(self):
+        self.assertEqual(self.lists("change", {"size": 2.0}), [])
+
+    def test_empty_changes(self):
+        self.assertEqual(self.lists("empty change", None), [])
+
+    def test_drains(self):
+        self.assertEqual(self.lists("drain", {"phase": "leaving"}), [])
+
+    def test_gone(self):
+        self.assertEqual(self.lists("gone", {"phase": "left"}), [])
+
+
+class PlatformTest(unittest.TestCase):
+    def test_votes(self):
+        """Each vote has one outcome: ok only where the answer says so whole, else that it may have counted."""
+        body, wrong = json.dumps(NEWS).encode(), []
+
+        async def story(town):
+            for mutant, text in random.Random(8).sample(answer_mutants(body, 7, 110), 110):
+                town.ballot = mutant
+                told = line(json.dumps({"type": "ROLLOUT", "object": readable(text)}))
+                with unittest.mock.patch.object(town.parts.platform, "put", (came := []).append):
+                    await town.parts.platform.vote(ifc.Vote(ifc.Verdict.BACK, 1, 7))
+                if len(came) != 1 or not came[0].reply:
+                    wrong.append(f"{mutant.name}: {came}")
+                elif came[0].ending == ifc.Ending.OK and (not told or heard(came[0]) != told):
+                    wrong.append(f"{mutant.name}: ok, {came[0]} where it says {told}")
+                elif came[0].ending not in (ifc.Ending.OK, ifc.Ending.TIMEOUT, ifc.Ending.ERROR):
+                    wrong.append(f"{mutant.name}: {came[0].ending.name}, and it may have counted")
+        self.assertEqual(played(story) + wrong, [])
+
+
+def readable(text):
+    try:
+        return json.loads(text)
+    except (TypeError, ValueError, RecursionError):
+        return None
+
+
+class PlantedTest(unittest.TestCase):
+    def test_half_a_list_is_taken(self):
+        """A marshal that moves on before it has read all of a list."""
+        read = Discovery.read
+
+        def hasty(self, listing, cached=False):
+            self.version = listing["revision"]
+            read(self, listing, cached)
+
+        with unittest.mock.patch.object(Discovery, "read", hasty):
+            self.assertTrue(DiscoveryTest().lists("change", {"size": 2.0}, most=60))
