--- a/tests/test_endings_start.py
+++ b/tests/test_endings_start.py
@@ -51,8 +51,8 @@
     def test_the_agent_drips(self):
         async def drips(marshal):
             call = await marshal.agent.call()
-            await call.send(b"HTTP/1.1 200 OK\r\nContent-Length: 9999\r\n\r\n")
             with contextlib.suppress(*GONE):
+                await call.send(b"HTTP/1.1 200 OK\r\nContent-Length: 9999\r\n\r\n")
                 while not call.left.is_set():
                     await call.send(b" ")
                     await anyio.sleep(0.01)
