--- a/brookreach/net/client.py
+++ b/brookreach/net/client.py
@@ -14,7 +14,7 @@
 
 from . import pgwire
 from .statement import BadStatement, Statement, harmless, statement
-from .stream import Stream
+from .stream import IN, Stream
 
 if TYPE_CHECKING:
     from .clients import Clients
@@ -53,13 +53,14 @@
         self.started = False  # the startup message has come
         self.skipping = False  # after an error in the extended protocol, until Sync
         self.leaving = False  # we take no more of it, and end our side once all is answered
-        self.faults = 0
-        home.silent[self] = time.monotonic()
+        self.faults, self.heard = 0, time.monotonic()
+        home.silent[self] = self.heard
 
     # --- reading ---
 
     def came(self) -> None:
         limits, count = self.home.limits, 0
+        self.heard = time.monotonic()
         if self.leaving:  # it crossed our closing: the client sends it again elsewhere
             self.inbound.head = self.inbound.tail
             return
@@ -85,7 +86,7 @@
                 self._message(message[0], message[1])
         if not self.closed and not self.leaving:
             self.home.half.pop(self, None)  # what is half now is so since we stopped reading
-            self.reading = False  # enough under way; `flush` or `emptied` goes on reading
+            self.reading = False  # enough under way; `_written` goes on reading
             self.interest()
 
     def _half(self, new: bool) -> None:
@@ -95,6 +96,13 @@
         if len(self.inbound):
             self.home.half.setdefault(self, time.monotonic())
 
+    def read_up(self) -> None:
+        """Look at what has come since the last turn."""
+        for _ in range(self.home.limits.sockets):
+            if self.closed or not self.reading or self.quiet():
+                return
+            self.ready(IN)
+
     def _startup(self, body: memoryview) -> None:
         code = pgwire.INT.unpack_from(body)[0] if len(body) >= 4 else 0
         if code in (pgwire.SSL, pgwire.GSSENC):
@@ -161,10 +169,10 @@
 
     def give_up(self, why: str) -> None:
         """Take no more of what comes; what was asked before is answered first."""
-        if not self.slots:
+        if not self.slots and not self.rest:
             self.end()
         elif not self.leaving:
-            self.home.report.say("client", f"{why}: closed behind {len(self.slots)} answers")
+            self.home.report.say("client", f"{why}: closed behind the answers under way")
             self._take_no_more()
 
     def _take_no_more(self) -> None:
@@ -214,19 +222,24 @@
         if self.rest:
             self.home.stuck.setdefault(self, time.monotonic())
         else:
-            self._read_on()
-        if not self.slots and not self.leaving:
-            self.home.idle[self] = self.poller.polled
+            self._written()
 
-    def _read_on(self) -> None:
+    def _written(self) -> None:
+        """The kernel has taken all that is answered: between RPCs, it may be closed now."""
         if self.leaving:
             self._end_side()
-        elif not self.reading or self.home.stopping:
+            return
+        if not self.slots and self not in self.home.silent:
+            self.home.idle[self] = self.poller.polled
+        if not self.reading or self.home.stopping:
             self.home.resumable.append(self)
 
-    def emptied(self) -> None:
+    def pushed(self) -> None:
         self.home.stuck.pop(self, None)
-        self._read_on()
+        if self.rest:
+            self.home.stuck[self] = time.monotonic()
+        else:
+            self._written()
 
     def leave(self) -> None:
         """While we stop, end our side between RPCs, once all that has come is answered."""
--- a/brookreach/net/clients.py
+++ b/brookreach/net/clients.py
@@ -62,11 +62,14 @@
         return True
 
     def _make_way(self) -> bool:
-        """Close the connection that has been silent for longest, else the one that has been idle for longest:
-        between RPCs we may. One whose next RPC lies unread is passed over."""
-        for row in (self.silent, self.idle):
+        """Close the connection that has been silent for longest or the one that has been idle for longest:
+        between RPCs we may. Where few are silent, their first query is on its way. One whose next RPC lies
+        unread is passed over; one that has half an RPC comes last."""
+        rows = [self.silent, self.idle] if len(self.silent) > len(self.idle) else [self.idle, self.silent]
+        for row in [*rows, self.half]:
             for client in list(islice(row, self.limits.pipelined)):
-                if client.quiet() and not (row is self.idle and len(client.inbound)):
+                asks = client.slots or client.rest or row is self.idle and len(client.inbound)
+                if not asks and client.quiet():
                     client.end()
                     return True
         return False
@@ -87,15 +90,23 @@
     def sweep(self) -> None:
         """Close what has been silent, half said or stuck for too long, and in a full house what rests."""
         now, limits = time.monotonic(), self.limits
-        rows = [(self.silent, limits.silent_s), (self.stuck, limits.stuck_s), (self.idle, limits.idle_s)]
-        for row, longest in rows:
-            while row and row[next(iter(row))] < now - longest:
-                next(iter(row)).end()
-        while self.half and self.half[next(iter(self.half))] < now - limits.silent_s:
-            next(iter(self.half)).give_up("half a message for too long")
-        while len(self.open) - len(self.silent) > limits.clients // 2 and self.idle and (
-                self.idle[next(iter(self.idle))] < now - limits.rest_s):
-            next(iter(self.idle)).end()
+        for client in older(self.stuck, now - limits.stuck_s):
+            client.end()
+        for row in (self.silent, self.half):
+            for client in older(row, now - limits.silent_s):
+                client.read_up()  # what came in this instant is not lost
+                # Slow is not silent; but no RPC has more time than drain_s.
+                since = row.get(client, now)
+                drips = len(client.inbound) > 0 and since >= now - limits.drain_s
+                if client in row and max(since, client.heard if drips else since) < now - limits.silent_s:
+                    client.give_up("silent, or half a message for too long")
+        for client in older(self.idle, now - min(limits.rest_s, limits.idle_s)):
+            full = len(self.open) - len(self.silent) > limits.clients // 2
+            if not full and self.idle[client] >= now - limits.idle_s:
+                return
+            client.read_up()
+            if client in self.idle and not len(client.inbound):
+                client.end()
 
     def catch_up(self) -> bool:
         """Take what came while its connection had enough under way; whether some have still more."""
@@ -132,3 +143,13 @@
     def ends_before(self, wait_ms: float) -> bool:
         """Whether we may have ended before an RPC that comes now has its answer."""
         return time.monotonic() + wait_ms / 1000.0 > self.ends_at
+
+
+def older(row: OrderedDict[Client, float], than: float) -> list[Client]:
+    """Those of a row that stand in it for longer, the oldest first."""
+    found: list[Client] = []
+    for client, since in row.items():
+        if since >= than:
+            break
+        found.append(client)
+    return found
--- a/brookreach/net/stream.py
+++ b/brookreach/net/stream.py
@@ -165,8 +165,8 @@
     def failed(self) -> None:
         self.broke("a defect of ours")
 
-    def emptied(self) -> None:
-        """The kernel has taken the last byte that had to wait."""
+    def pushed(self) -> None:
+        """The kernel may have taken more of what had to wait, or the last of it."""
 
     def ready(self, mask: int) -> None:
         try:
@@ -179,7 +179,7 @@
                     return
                 if not self.rest:
                     self.interest()
-                    self.emptied()
+                self.pushed()
             if not mask:
                 self.came()  # to be looked at again
             elif mask & ENDED and not self.reading:
--- a/tests/peers_clients.py
+++ b/tests/peers_clients.py
@@ -2,9 +2,11 @@
 
 import contextlib
 import dataclasses
+import fcntl
 import select
 import socket
 import struct
+import termios
 import time
 import unittest
 
@@ -119,7 +121,6 @@
         return None
 
     def send(self, data):
-        """Whole, and seen by the kernel on the other side where it has accepted this."""
         self.sock.setblocking(True)
         self.sock.sendall(data)
         self.sock.setblocking(False)
@@ -128,9 +129,15 @@
         """The marshal's kernel holds little of an answer that its client does not take."""
         self.client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
 
-    def unread(self):
-        """Bytes that lie in the marshal's kernel wait there; true once some do."""
-        return bool(select.select([self.client.sock], [], [], 0)[0])
+    def lies_unread(self, data):
+        """Sends it, and waits until it lies in the kernel on the marshal's side, which looks at nothing."""
+        self.send(data)
+        assert select.select([self.client.sock], [], [], 10.0)[0], "nothing has come"
+
+    def acknowledged(self):
+        """Waits until the kernel on the other side has all that was sent."""
+        while struct.unpack("i", fcntl.ioctl(self.sock, termios.TIOCOUTQ, bytes(4)))[0]:
+            pass
 
     def look(self):
         try:
--- a/tests/test_endings_stop.py
+++ b/tests/test_endings_stop.py
@@ -38,9 +38,7 @@
     def test_a_query_that_lies_unread_in_the_kernel(self):
         port = self.port()
         peer = port.ready_peer()
-        peer.send(query(1))
-        while not peer.unread():
-            pass
+        peer.lies_unread(query(1))
         port.home.last_call()
         self.answered(port, 1)
         self.ends(port, peer, 1)
@@ -51,9 +49,7 @@
         peer.send(query(1))
         port.until(lambda: port.desk.taken)
         port.home.last_call()
-        peer.send(query(2))
-        while not peer.unread():
-            pass
+        peer.lies_unread(query(2))
         port.desk.answer(1)
         port.home.catch_up()  # before the sockets have their turn
         self.answered(port, 2)
@@ -71,9 +67,7 @@
     def test_more_commands_than_are_handled_in_one_turn(self):
         port = self.port()
         peer = port.ready_peer()
-        peer.send(b"".join(pgwire.query(b"")) * 400 + query(1))
-        while not peer.unread():
-            pass
+        peer.lies_unread(b"".join(pgwire.query(b"")) * 400 + query(1))
         port.home.last_call()
         self.answered(port, 1)
         peer.hears(pgwire.EMPTY * 400)
@@ -105,6 +99,8 @@
         port = self.port()
         numbers = range(1, 101)
         peers = [port.peer(HELLO + query(number)) for number in numbers]
+        for peer in peers:
+            peer.acknowledged()
         port.home.last_call()
         self.answered(port, 100)
         for number, peer in zip(numbers, peers, strict=True):
@@ -119,7 +115,7 @@
         port.until(lambda: len(port.desk.taken) == 2)
         port.desk.answer(1, large)
         self.assertTrue(peer.client.rest)
-        peer.send(query(3))
+        peer.lies_unread(query(3))
         port.home.last_call()
         port.desk.answer(2)
         peer.hears(row(large))
@@ -144,7 +140,7 @@
     def test_an_rpc_with_the_longest_time_of_all_in_the_last_instant(self):
         port = self.port()
         peer = port.ready_peer()
-        peer.send(query(1, wait_ms=3000))
+        peer.lies_unread(query(1, wait_ms=3000))
         port.home.last_call()
         self.assertFalse(port.home.ends_before(3000.0))
         self.answered(port, 1)
