--- a/brookreach/fleet/dial.py
+++ b/brookreach/fleet/dial.py
@@ -93,7 +93,7 @@
         if self.call is not None:
             self.call.line.finish()
         self.inbox.keepers.clear()
-        self.call = Call(keeper, Line(self.bounds.to_client, False, self.bounds.stuck_s))
+        self.call = Call(keeper, Line(self.bounds.to_client, False, self.bounds.stalled_s))
         tasks.start_soon(self._connect, self.call)
 
     async def _connect(self, call: Call) -> None:
--- a/brookreach/fleet/link.py
+++ b/brookreach/fleet/link.py
@@ -67,7 +67,7 @@
         backoff = Backoff(self.bounds.again_s, self.bounds.again_most_s, self.chance)
         said = False
         while True:
-            line = self.lines[name] = Line(self.bounds.to_keeper, True, self.bounds.stuck_s)
+            line = self.lines[name] = Line(self.bounds.to_keeper, True, self.bounds.stalled_s)
             await line.filled()
             await anyio.sleep(backoff.pause())
             began = anyio.current_time()
@@ -161,7 +161,7 @@
         self.name = name
         link.strangers -= 1
         if name not in link.keepers:
-            self.line = Line(link.bounds.to_client, False, link.bounds.stuck_s)
+            self.line = Line(link.bounds.to_client, False, link.bounds.stalled_s)
             link.lines[name] = self.line
             tasks.start_soon(self.line.write, self.stream)
             if before is not None:  # its client has come again
--- a/brookreach/fleet/stream.py
+++ b/brookreach/fleet/stream.py
@@ -28,7 +28,7 @@
     strangers: int = 256  # connections that have not said a frame yet
     hello_s: float = 2.0  # within which they have to
     dial_s: float = 1.0
-    stuck_s: float = 5.0  # a peer that takes nothing for so long has gone
+    stalled_s: float = 5.0  # a peer that takes nothing for so long has gone
     asked: int = words.MOST_RECORD + 4096  # the longest frame of a client
     to_client: int = 4 << 20  # past it the client is cut off: it comes again and is told the whole
     behind: int = 512 << 10  # past it nothing more of what it watches is put there
@@ -64,8 +64,8 @@
 class Line:
     """What waits to be written on one connection, which may not stand yet."""
 
-    def __init__(self, most: int, drops: bool, stuck_s: float):
-        self.most, self.drops, self.stuck_s = most, drops, stuck_s
+    def __init__(self, most: int, drops: bool, stalled_s: float):
+        self.most, self.drops, self.stalled_s = most, drops, stalled_s
         self.waiting: deque[bytes] = deque()
         self.held = self.dropped = 0  # bytes, those being written among them; frames
         self.cut = self.last = False
@@ -93,7 +93,7 @@
 
     async def write(self, stream: anyio.abc.ByteStream) -> None:
         """Until all is written that came before `finish`; raises one of LOST where the connection ends, is
-        stuck or cut off."""
+        stalled or cut off."""
         while not self.cut:
             if not self.waiting:
                 if self.last:
@@ -103,12 +103,12 @@
                 continue
             octets = b"".join(self.waiting)
             self.waiting.clear()
-            with anyio.move_on_after(self.stuck_s) as self.sending:
+            with anyio.move_on_after(self.stalled_s) as self.sending:
                 await stream.send(octets)
             if self.sending.cancelled_caught:
                 break
             self.held -= len(octets)
-        raise TimeoutError("cut off" if self.cut else f"it took nothing for {self.stuck_s} s")
+        raise TimeoutError("cut off" if self.cut else f"it took nothing for {self.stalled_s} s")
 
     def finish(self) -> None:
         """Nothing more is put."""
--- a/brookreach/net/client.py
+++ b/brookreach/net/client.py
@@ -220,7 +220,7 @@
             self.end()
             return
         if self.rest:
-            self.home.stuck.setdefault(self, time.monotonic())
+            self.home.stalled.setdefault(self, time.monotonic())
         else:
             self._written()
 
@@ -235,9 +235,9 @@
             self.home.resumable.append(self)
 
     def pushed(self) -> None:
-        self.home.stuck.pop(self, None)
+        self.home.stalled.pop(self, None)
         if self.rest:
-            self.home.stuck[self] = time.monotonic()
+            self.home.stalled[self] = time.monotonic()
         else:
             self._written()
 
--- a/brookreach/net/clients.py
+++ b/brookreach/net/clients.py
@@ -18,8 +18,6 @@
 from .report import Report
 from .stream import IN, Listener, Poller
 
-PAST_S = 0.1  # what came in the instant of the last call is waited for so much longer
-
 
 class Clients:
     def __init__(self, limits: Limits, report: Report, poller: Poller, taker: Taker, at: str) -> None:
@@ -30,7 +28,7 @@
         self.silent: OrderedDict[Client, float] = OrderedDict()
         self.idle: OrderedDict[Client, float] = OrderedDict()
         self.half: OrderedDict[Client, float] = OrderedDict()
-        self.stuck: OrderedDict[Client, float] = OrderedDict()
+        self.stalled: OrderedDict[Client, float] = OrderedDict()
         self.pool = pgwire.Pool(limits.large)
         self.resumable: list[Client] = []  # to be looked at again for RPCs that have come already
         self.stopping = self.deaf = False
@@ -80,7 +78,7 @@
 
     def left(self, client: Client) -> None:
         self.open.discard(client)
-        for row in (self.silent, self.idle, self.half, self.stuck):
+        for row in (self.silent, self.idle, self.half, self.stalled):
             row.pop(client, None)
         self.one_left.set()
         if self.deaf and self.listener is not None:
@@ -88,9 +86,9 @@
             self.poller.watch(self.listener, IN)
 
     def sweep(self) -> None:
-        """Close what has been silent, half said or stuck for too long, and in a full house what rests."""
+        """Close what has been silent, half said or stalled for too long, and in a full house what rests."""
         now, limits = time.monotonic(), self.limits
-        for client in older(self.stuck, now - limits.stuck_s):
+        for client in older(self.stalled, now - limits.stalled_s):
             client.end()
         for row in (self.silent, self.half):
             for client in older(row, now - limits.silent_s):
@@ -138,7 +136,7 @@
             self.listener = None
         for client in list(self.open):
             client.leave()
-        self.ends_at = time.monotonic() + self.limits.drain_s - self.limits.linger_s + PAST_S
+        self.ends_at = time.monotonic() + self.limits.drain_s - self.limits.linger_s + self.limits.past_s
 
     def ends_before(self, wait_ms: float) -> bool:
         """Whether we may have ended before an RPC that comes now has its answer."""
--- a/brookreach/net/limits.py
+++ b/brookreach/net/limits.py
@@ -45,9 +45,10 @@
     faults: int = 8  # statements that can't be taken, until their connection is closed
     silent_s: float = 2.0  # a connection that has asked nothing, or half a message, is closed after this
     rest_s: float = 2.0  # one idle for so long is closed while over half of the connections are taken
-    stuck_s: float = 5.0  # a client that takes nothing of its answer for so long has gone
+    stalled_s: float = 5.0  # a client that takes nothing of its answer for so long has gone
     # Stopping: connections go on coming for a moment after the signal.
     linger_s: float = 0.5
+    past_s: float = 0.1  # past drain_s, what came in the instant of the last call is waited for so long
     # Discovery and the platform.
     behind_s: float = 10.0  # lists older than what was told take no drain back for so long, then they do
     again_s: float = 0.1  # between tries of the feed after a failure
--- a/tests/test_endings_clients.py
+++ b/tests/test_endings_clients.py
@@ -59,7 +59,7 @@
         port.until(lambda: not peer.client.reading)
         peer.sock.shutdown(socket.SHUT_WR)  # no reset: only the end of what it sends tells that it has gone
         port.until(lambda: not port.home.open)
-        self.assertEqual((port.desk.left, len(port.home.stuck)), ([2], 0))
+        self.assertEqual((port.desk.left, len(port.home.stalled)), ([2], 0))
 
 
 class BehindTest(PortCase):
--- a/tests/test_endings_evicted.py
+++ b/tests/test_endings_evicted.py
@@ -132,14 +132,14 @@
         port.desk.answer(1, answer)
         while peer.client.rest:
             left = sum(len(part) for part in peer.client.rest)
-            port.home.stuck[peer.client] -= 4.0  # of the 5 s
+            port.home.stalled[peer.client] -= 4.0  # of the 5 s
             def some(left=left):
                 peer.look()
                 return sum(len(part) for part in peer.client.rest) < left
             port.until(some)
             port.home.sweep()
         peer.hears(row(answer))
-        self.assertEqual(len(port.home.stuck), 0)
+        self.assertEqual(len(port.home.stalled), 0)
 
     def test_half_a_query_behind_an_answer_that_is_not_taken_yet(self):
         port, answer = self.port(silent_s=-1.0), bytes(256 << 10)
@@ -160,7 +160,7 @@
         port.until(lambda: port.desk.taken)
         port.desk.answer(1, bytes(256 << 10))
         port.rest()
-        port.home.stuck[peer.client] -= 5.5
+        port.home.stalled[peer.client] -= 5.5
         port.home.sweep()
         self.assertEqual(len(port.home.open), 0)
 
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -79,7 +79,7 @@
             town.trace.append(f"silence has an end: {await town.answer(crowd[-1])}, open {len(home.open)}")
             await idle[0].send(b"".join(pgwire.query(b"")))
             town.trace.append(f"idle: {await town.answer(idle)}; under way: {await town.answer(busy)}")
-            town.trace.append(f"rows {len(home.half)} half, {len(home.stuck)} stuck, pool {home.pool.free}")
+            town.trace.append(f"rows {len(home.half)} half, {len(home.stalled)} stalled, pool {home.pool.free}")
         self.compare("crowd", [line for line in played(story) if "module" not in line])
 
     def test_one_connection_takes_no_more_than_its_share(self):
