A query that is half written when its client leaves is never made whole

Seen: Link went on writing what the kernel had not taken yet of a query whose client had gone: an RPC that no node had got was then sent on, however late. Ruled out: queries not begun (too_late), whole ones (they may have run, their outcome is heard). At fault: Driver.gone, which told the module alone.

--- a/brookreach/net/driver.py
+++ b/brookreach/net/driver.py
@@ -90,7 +90,10 @@
         return self.taken
 
     def gone(self, rpc: int) -> None:
-        if self._close(rpc) is not None:
+        held = self._close(rpc)
+        if held is not None:
+            for nth in range(held.picks):
+                self.nodes.unwanted(rpc, nth)
             self.put(ifc.RpcGone(rpc))
 
     def _close(self, rpc: int) -> Open | None:
--- a/brookreach/net/nodes.py
+++ b/brookreach/net/nodes.py
@@ -81,6 +81,12 @@
         if flight is not None:
             flight.stop(Ending.CANCELLED)
 
+    def unwanted(self, rpc: int, nth: int) -> None:
+        """Its client has gone: a query that is not whole yet is never made so."""
+        flight = self.in_flight.get((rpc, nth))
+        if flight is not None:
+            HalfWritten(flight).expire()
+
     def probe(self, node: int) -> None:
         endpoint = self.endpoints.get(node)
         if endpoint is not None:
--- a/tests/test_endings_links.py
+++ b/tests/test_endings_links.py
@@ -8,9 +8,11 @@
 
 from brookreach import interface as ifc
 
-from .peers_nodes import SELECTED, Rig
+from .helpers import ONCE, method
+from .peers_nodes import SELECTED, Answered, Rig, Whole, asked
 
 OK, MOOT, CANCELLED = ifc.Ending.OK, ifc.Ending.MOOT, ifc.Ending.CANCELLED
+RELEASED = ifc.RolloutNews(False, OK, 2, 1.0, ifc.Phase.RELEASED, 0.0, 1)
 
 
 class LimitsTest(unittest.TestCase):
@@ -64,3 +66,28 @@
                 time.sleep(0)
             flight.expire()
             self.assertEqual(rig.ending(1), OK)
+
+
+class GoneTest(unittest.TestCase):
+    """A client that leaves while its query is being written."""
+
+    def left(self, code, whole):
+        whole.listing([whole.peers[0].listed()], RELEASED)
+        rpc = whole.driver.take(asked(True, 1, code=code), Answered(whole.answers, 1))
+        node = whole.peers[0].taken_one()
+        whole.until(lambda: [link for link in whole.poller.watched.values() if getattr(link, "at", 0) == 3])
+        whole.driver.gone(rpc)
+        whole.turn()
+        return node, list(whole.driver.nodes.in_flight)
+
+    def test_half_of_its_query_is_never_made_whole(self):
+        with closing(Whole((method(ONCE, name="look"),), peers=1)) as whole:
+            node, in_flight = self.left("7" * 20_000_000, whole)
+            self.assertEqual(in_flight, [])
+            node.left()
+            self.assertEqual(node.queries(), [])
+
+    def test_a_whole_one_runs_on(self):
+        """It may have run: its outcome is still heard."""
+        with closing(Whole((method(ONCE, name="look"),), peers=1)) as whole:
+            self.assertEqual(self.left("7f", whole)[1], [(1, 0)])
