Cutting off a half-written query is the pick's own act, not an alarm that is made to ring

Nodes.unwanted made a HalfWritten alarm only to expire it at once. Both call InFlight.cut_half now; behaviour the same (test_endings_links, test_endings_picks, mypyc build).

--- a/brookreach/net/link.py
+++ b/brookreach/net/link.py
@@ -103,6 +103,11 @@
             link.drop()  # before the outcome is told: a further pick must be no second copy
         self.end(ending, [])
 
+    def cut_half(self) -> None:
+        """A query of which the kernel took only a part is never made whole."""
+        if self.link is not None and self.link.at == ASKING and not self.link.written():
+            self.stop(Ending.MOOT)
+
     def end(self, ending: ifc.Ending, answer: list[bytes | memoryview]) -> None:
         if self.done:
             return
@@ -117,15 +122,13 @@
 
 
 class HalfWritten(Expiring):
-    """When a query's time for being written is over: what the node has of it is then never made whole."""
+    """The alarm of when a query's time for being written is over."""
 
     def __init__(self, flight: InFlight) -> None:
         self.flight = flight
 
     def expire(self) -> None:
-        link = self.flight.link
-        if link is not None and link.at == ASKING and not link.written():
-            self.flight.stop(Ending.MOOT)
+        self.flight.cut_half()
 
 
 class Link(Stream):
--- a/brookreach/net/nodes.py
+++ b/brookreach/net/nodes.py
@@ -85,7 +85,7 @@
         """Its client has gone: a query that is not whole yet is never made so."""
         flight = self.in_flight.get((rpc, nth))
         if flight is not None:
-            HalfWritten(flight).expire()
+            flight.cut_half()
 
     def probe(self, node: int) -> None:
         endpoint = self.endpoints.get(node)
