One reader of HTTP calls for the stand-ins: the mutation tests had it again

brookreach.drills.stand.request serves HttpStand and ScriptedHttp; it was written out in both. Behaviour the same (test_mutation_services, test_net_services, test_grown).

--- a/brookreach/drills/stand.py
+++ b/brookreach/drills/stand.py
@@ -78,6 +78,20 @@
                         await stream.send(reply)
 
 
+async def request(stream: anyio.abc.ByteStream, data: bytes) -> tuple[str, str, bytes, bytes]:
+    """The next call on a connection, `data` being what came behind the one before: its method, target and
+    body, and what came behind it."""
+    while b"\r\n\r\n" not in data:
+        data += await stream.receive()
+    head, _, data = data.partition(b"\r\n\r\n")
+    method, target, _ = head.split(b"\r\n")[0].decode().split()
+    lines = head.lower().split(b"\r\n")
+    size = sum(int(line[15:]) for line in lines if line.startswith(b"content-length:"))
+    while len(data) < size:
+        data += await stream.receive()
+    return method, target, data[:size], data[size:]
+
+
 class HttpStand:
     """Discovery or the platform: `answer(method, target, body)` gives status, body and whether it ends."""
 
@@ -90,15 +104,7 @@
             async with stream:
                 data = b""
                 while True:
-                    while b"\r\n\r\n" not in data:
-                        data += await stream.receive()
-                    head, _, data = data.partition(b"\r\n\r\n")
-                    method, target, _ = head.split(b"\r\n")[0].decode().split()
-                    lines = head.lower().split(b"\r\n")
-                    size = sum(int(line[15:]) for line in lines if line.startswith(b"content-length:"))
-                    while len(data) < size:
-                        data += await stream.receive()
-                    body, data = data[:size], data[size:]
+                    method, target, body, data = await request(stream, data)
                     self.calls.append(f"{method} {target} {body.decode()}".strip())
                     del self.calls[:-1000]
                     status, text, ends = await self.answer(method, target, body)
--- a/tests/mutation_services.py
+++ b/tests/mutation_services.py
@@ -9,7 +9,7 @@
 import anyio
 
 from brookreach import interface as ifc
-from brookreach.drills.stand import GONE
+from brookreach.drills.stand import GONE, request
 from brookreach.net import pgwire
 from brookreach.net.backoff import Backoff
 from brookreach.net.discovery import STATES
@@ -102,14 +102,7 @@
             async with stream:
                 data = b""
                 while True:
-                    while b"\r\n\r\n" not in data:
-                        data += await stream.receive()
-                    head, _, data = data.partition(b"\r\n\r\n")
-                    size = sum(int(line[15:]) for line in head.lower().split(b"\r\n") if line[:15] == b"content-length:")
-                    while len(data) < size:
-                        data += await stream.receive()
-                    body, data = data[:size], data[size:]
-                    method, target, _ = head.split(b"\r\n")[0].decode().split()
+                    method, target, body, data = await request(stream, data)
                     said = self.answer(method, target, body)
                     await say(self.town, stream, said.pieces, said.ending)
 
