--- a/brookreach/__main__.py
+++ b/brookreach/__main__.py
@@ -103,11 +103,19 @@
             self.told, self.stops, self.serving = told, False, anyio.Event()
             self.beside: list[Beside] = []  # what `run` switches on
             chance = random.Random(start.seed)
-            self.discovery = Discovery(self.limits, self.report, settings.texts("zones"),
-                                       settings.texts("skus"), chance, self.driver.told)
+            self.discovery = Discovery(
+                self.limits, self.report, settings.texts("zones"), settings.texts("skus"), chance, self.driver.told
+            )
             stages = len(start.rollout.stage_shares)
-            self.platform = Platform(self.limits, self.report, [method.name for method in start.methods],
-                                     stages, address_from(deployer, "address"), chance, self.driver.put)
+            self.platform = Platform(
+                self.limits,
+                self.report,
+                [method.name for method in start.methods],
+                stages,
+                address_from(deployer, "address"),
+                chance,
+                self.driver.put,
+            )
             self.discovery.move(address_from(top, "discovery"))
             news = deployer.object("news")
             news.count("version"), news.count("step", stages - 1), news.word("status", PHASES)
@@ -133,8 +141,11 @@
             raise BadStart(f"discovery or deployer.address: {type(error).__name__} {error}") from None
         fixed = ("name", "listen", "limits", "settings")
         other = [name for name in fixed if told.get(name) != self.told.get(name)]
-        self.report.say("marshal", f"configuration read: discovery {discovery}, platform {platform}" + (
-            f"; {', '.join(other)} stay until a restart" if other else ""))
+        self.report.say(
+            "marshal",
+            f"configuration read: discovery {discovery}, platform {platform}"
+            + (f"; {', '.join(other)} stay until a restart" if other else ""),
+        )
         self.discovery.move(discovery)
         self.platform.move(platform)
 
@@ -211,8 +222,9 @@
 EARLY: list[int] = []  # SIGHUPs that came before the parts were there
 
 
-def serve(lines: Writers | None = None, record: Path | None = None,
-          beside: Callable[[Parts], Beside] | None = None) -> int:
+def serve(
+    lines: Writers | None = None, record: Path | None = None, beside: Callable[[Parts], Beside] | None = None
+) -> int:
     """One marshal to its end; `lines` makes by its name what writes its log, if not plain; `record` is where
     the verdicts on its last builds are kept, if anywhere; `beside` makes a task that runs beside its own.
     """
--- a/brookreach/benchlink/frames.py
+++ b/brookreach/benchlink/frames.py
@@ -24,47 +24,54 @@
     tail: str  # "" none, else a key of TAILS
 
 
-TAILS = {"rows": struct.Struct("<I"), "text": struct.Struct("<I"), "octets": struct.Struct("<H"),
-         "floats": struct.Struct("<B")}
+TAILS = {
+    "rows": struct.Struct("<I"),
+    "text": struct.Struct("<I"),
+    "octets": struct.Struct("<H"),
+    "floats": struct.Struct("<B"),
+}
 
 
 def _table(rows: dict[int, tuple[str, str, str]]) -> dict[int, Layout]:
-    return {code: Layout(name, struct.Struct("<" + fixed), tail)
-            for code, (name, fixed, tail) in rows.items()}
-
-
-EVENTS = _table({
-    256: ("Mail", "HH", "octets"),
-    257: ("Ring", "HQ", ""),
-    258: ("Up", "HQ", "text"),
-    259: ("Disputed", "HIBI", ""),
-    260: ("Exit", "H", ""),
-    261: ("AckFirst", "HQHII", ""),
-    262: ("Pool", "I", "rows"),
-    263: ("Returned", "HQBBHII", "floats"),
-    264: ("PeriodSums", "HHIIIIB", ""),
-    265: ("Probed", "HIIB", "floats"),
-    266: ("NewRequest", "HQBHQQIB", ""),
-    267: ("Registry", "HBII", ""),
-    268: ("RolloutState", "HBBfBBIH", ""),
-    269: ("Dropped", "HQ", ""),
-})
-
-ACTIONS = _table({
-    256: ("Assign", "HQIi", ""),
-    257: ("Shed", "HQI", ""),
-    258: ("ReportFailure", "HQ", ""),
-    259: ("StopAttempt", "HQH", ""),
-    260: ("Schedule", "HIQ", ""),
-    261: ("Touch", "HI", ""),
-    262: ("LetGo", "HI", ""),
-    263: ("BroadcastTo", "HH", "octets"),
-    264: ("SayLog", "H", "octets"),
-    265: ("Crash", "H", "octets"),
-    266: ("Tail", "HB", ""),
-    267: ("QueryAll", "H", ""),
-    268: ("SaySo", "HBBH", ""),
-})
+    return {code: Layout(name, struct.Struct("<" + fixed), tail) for code, (name, fixed, tail) in rows.items()}
+
+
+EVENTS = _table(
+    {
+        256: ("Mail", "HH", "octets"),
+        257: ("Ring", "HQ", ""),
+        258: ("Up", "HQ", "text"),
+        259: ("Disputed", "HIBI", ""),
+        260: ("Exit", "H", ""),
+        261: ("AckFirst", "HQHII", ""),
+        262: ("Pool", "I", "rows"),
+        263: ("Returned", "HQBBHII", "floats"),
+        264: ("PeriodSums", "HHIIIIB", ""),
+        265: ("Probed", "HIIB", "floats"),
+        266: ("NewRequest", "HQBHQQIB", ""),
+        267: ("Registry", "HBII", ""),
+        268: ("RolloutState", "HBBfBBIH", ""),
+        269: ("Dropped", "HQ", ""),
+    }
+)
+
+ACTIONS = _table(
+    {
+        256: ("Assign", "HQIi", ""),
+        257: ("Shed", "HQI", ""),
+        258: ("ReportFailure", "HQ", ""),
+        259: ("StopAttempt", "HQH", ""),
+        260: ("Schedule", "HIQ", ""),
+        261: ("Touch", "HI", ""),
+        262: ("LetGo", "HI", ""),
+        263: ("BroadcastTo", "HH", "octets"),
+        264: ("SayLog", "H", "octets"),
+        265: ("Crash", "H", "octets"),
+        266: ("Tail", "HB", ""),
+        267: ("QueryAll", "H", ""),
+        268: ("SaySo", "HBBH", ""),
+    }
+)
 ACTION_CODES = {layout.name: code for code, layout in ACTIONS.items()}
 
 
@@ -139,7 +146,7 @@
         raise WireError(f"batch {number}: length {size} leaves no room for the clock")
     content = _exactly(stream, size, f"batch {number}")
     try:
-        return number, CLOCK.unpack_from(content)[0], decode(content[CLOCK.size:], count)
+        return number, CLOCK.unpack_from(content)[0], decode(content[CLOCK.size :], count)
     except WireError as error:
         raise WireError(f"batch {number}: {error}") from None
 
--- a/brookreach/benchlink/words.py
+++ b/brookreach/benchlink/words.py
@@ -12,8 +12,16 @@
 
 from .frames import WireError
 
-ENDINGS = {0: ifc.Ending.OK, 5: ifc.Ending.ERROR, 11: ifc.Ending.FULL, 110: ifc.Ending.TIMEOUT,
-           111: ifc.Ending.NO_CONNECT, 104: ifc.Ending.RESET, 125: ifc.Ending.CANCELLED, 114: ifc.Ending.MOOT}
+ENDINGS = {
+    0: ifc.Ending.OK,
+    5: ifc.Ending.ERROR,
+    11: ifc.Ending.FULL,
+    110: ifc.Ending.TIMEOUT,
+    111: ifc.Ending.NO_CONNECT,
+    104: ifc.Ending.RESET,
+    125: ifc.Ending.CANCELLED,
+    114: ifc.Ending.MOOT,
+}
 LISTS = {0: ifc.ListKind.FULL, 2: ifc.ListKind.DELTA, 3: ifc.ListKind.FAILED, 4: ifc.ListKind.CACHED}
 LONGEST_TIMER_US = 71 * 60 * 1_000_000
 
@@ -42,17 +50,25 @@
     return dict(zip(reports, figures, strict=False))
 
 
-def event_from(name: str, f: tuple[Any, ...], reports: tuple[ifc.Load, ...],
-               pools: dict[int, tuple[ifc.NodeEntry, ...]]) -> ifc.Event:
+def event_from(
+    name: str, f: tuple[Any, ...], reports: tuple[ifc.Load, ...], pools: dict[int, tuple[ifc.NodeEntry, ...]]
+) -> ifc.Event:
     """One event's fields, the instance's number left out, as the interface words it."""
     match name:
         case "Returned":
-            return ifc.PickEnded(f[0], f[3], f[5], ENDINGS[f[1]], f[2] != 0, to_ms(f[4]),
-                                 _loads(reports, f[6]))
+            return ifc.PickEnded(f[0], f[3], f[5], ENDINGS[f[1]], f[2] != 0, to_ms(f[4]), _loads(reports, f[6]))
         case "NewRequest":
             rpc, method, tenant, key, deadline, estimate, bits = f
-            return ifc.RpcTaken(rpc, method, tenant, key, to_ms(deadline),
-                                to_ms(estimate) if bits & 1 else None, bool(bits & 2), bool(bits & 4))
+            return ifc.RpcTaken(
+                rpc,
+                method,
+                tenant,
+                key,
+                to_ms(deadline),
+                to_ms(estimate) if bits & 1 else None,
+                bool(bits & 2),
+                bool(bits & 4),
+            )
         case "Ring":
             return ifc.TimerRang(f[0])
         case "Dropped":
@@ -62,8 +78,7 @@
             return ifc.NodeList(kind, f[1], () if kind == ifc.ListKind.FAILED else pools[f[2]])
         case "RolloutState":
             mark, stage, cap, result, phase, age, build = f
-            return ifc.RolloutNews(mark != 0, ENDINGS[result], stage, cap, ifc.Phase(phase), to_ms(age),
-                                   build)
+            return ifc.RolloutNews(mark != 0, ENDINGS[result], stage, cap, ifc.Phase(phase), to_ms(age), build)
         case "PeriodSums":
             build, age, failed, count, mean, method = f
             return ifc.Tally(build, method, to_ms(age), failed, count, to_ms(mean))
--- a/brookreach/cli/drill.py
+++ b/brookreach/cli/drill.py
@@ -11,8 +11,7 @@
 from brookreach.cli.main import out, progress
 
 DRILLS = {
-    name: f"brookreach.drills.{name}"
-    for name in ("verdict", "xds", "fleet", "mutation", "outages", "gangs", "power")
+    name: f"brookreach.drills.{name}" for name in ("verdict", "xds", "fleet", "mutation", "outages", "gangs", "power")
 }
 
 
@@ -20,9 +19,7 @@
 @click.argument("name", type=click.Choice(list(DRILLS)))
 @click.option("--seed", type=click.IntRange(0), default=1, show_default=True, help="The first seed.")
 @click.option("--seeds", type=click.IntRange(1, 1_000_000), default=5, show_default=True)
-@click.option(
-    "--processes", type=click.IntRange(3, 27), help="Play it between so many processes of the program."
-)
+@click.option("--processes", type=click.IntRange(3, 27), help="Play it between so many processes of the program.")
 @click.option("--plant", help="Switch a known defect on; the drill must then find it.")
 @click.option("--json", "as_json", is_flag=True, help="Print one object.")
 def drill(name: str, seed: int, seeds: int, processes: int | None, plant: str | None, as_json: bool) -> None:
@@ -35,9 +32,7 @@
         if "processes" not in inspect.signature(part.run).parameters:
             raise click.ClickException(f"drill {name} plays in one process")
         if plant:
-            raise click.ClickException(
-                "a defect can't be planted in processes of the program: leave out --processes"
-            )
+            raise click.ClickException("a defect can't be planted in processes of the program: leave out --processes")
         more["processes"] = processes
     try:
         report = part.run(seed, seeds, plant or "", progress=progress(f"drill {name}", as_json), **more)
--- a/brookreach/cli/files.py
+++ b/brookreach/cli/files.py
@@ -198,9 +198,7 @@
         told_json = json.loads(octets)
         start = facts.start_from(int(str(told_json["seed"]), 16), told_json["settings"])
     except (facts.FactsError, KeyError, TypeError, ValueError, RecursionError) as error:
-        raise BadFile(
-            [f"{file}: no record, and no marshal's configuration: {type(error).__name__} {error}"]
-        ) from None
+        raise BadFile([f"{file}: no record, and no marshal's configuration: {type(error).__name__} {error}"]) from None
     return "a marshal's configuration", msgspec.to_builtins(start)
 
 
--- a/brookreach/cli/fleet.py
+++ b/brookreach/cli/fleet.py
@@ -87,8 +87,11 @@
 @click.argument("file", type=File)
 @click.argument("config", type=File)
 @click.option("--away-ms", type=click.FloatRange(0.0), help="Play drains to the end: back after that.")
-@click.option("--gangs", type=click.Path(path_type=Path, file_okay=False),
-              help="Play gangs' members too: what works when, in files of this folder.")
+@click.option(
+    "--gangs",
+    type=click.Path(path_type=Path, file_okay=False),
+    help="Play gangs' members too: what works when, in files of this folder.",
+)
 @click.option("--room", type=click.IntRange(0, 1 << 32), default=0, help="Of each node, for long jobs.")
 def agent(file: Path, config: Path, away_ms: float | None, gangs: Path | None, room: int) -> None:
     """Play the agents of all nodes that the marshal's configuration CONFIG knows, until Ctrl-C."""
@@ -129,10 +132,16 @@
 
     async def look(one: Talk) -> dict[str, Any]:
         view = await one.view()
-        tables = {name: {key: msgspec.structs.asdict(row) for key, row in view.rows(name)}
-                  for name in sorted(one.client.mirror.watched)}
-        return {"leader": one.keeper, "index": one.client.mirror.index, "at_ms": one.client.mirror.at_ms,
-                "tables": tables}
+        tables = {
+            name: {key: msgspec.structs.asdict(row) for key, row in view.rows(name)}
+            for name in sorted(one.client.mirror.watched)
+        }
+        return {
+            "leader": one.keeper,
+            "index": one.client.mirror.index,
+            "at_ms": one.client.mirror.at_ms,
+            "tables": tables,
+        }
 
     told = talked(file, wait, look)
     out(as_json, told, lambda: _text(told))
--- a/brookreach/cli/main.py
+++ b/brookreach/cli/main.py
@@ -38,8 +38,7 @@
             command = getattr(importlib.import_module(module), attribute)
         except ImportError as error:
             raise click.ClickException(
-                f"{name} needs a library that is not installed ({error.name}): "
-                "pip install brookreach[tools,plots]"
+                f"{name} needs a library that is not installed ({error.name}): pip install brookreach[tools,plots]"
             ) from None
         assert isinstance(command, click.Command)
         return command
--- a/brookreach/cli/site.py
+++ b/brookreach/cli/site.py
@@ -21,8 +21,10 @@
         with anyio.open_signal_receiver(signal.SIGINT, signal.SIGTERM) as signals:
             async with anyio.create_task_group() as tasks:
                 await tasks.start(played.run)
-                click.echo(f"{len(played.nodes)} nodes, discovery and the platform stand; now, elsewhere: "
-                           f"python -m brookreach run {config}")
+                click.echo(
+                    f"{len(played.nodes)} nodes, discovery and the platform stand; now, elsewhere: "
+                    f"python -m brookreach run {config}"
+                )
                 async for _ in signals:
                     tasks.cancel_scope.cancel()
         for at, node in sorted(played.nodes.items()):
--- a/brookreach/cli/structured.py
+++ b/brookreach/cli/structured.py
@@ -17,8 +17,12 @@
 
     logger = structlog.wrap_logger(
         structlog.PrintLogger(sys.stderr),
-        processors=[structlog.processors.add_log_level, structlog.processors.TimeStamper("iso", key="at"),
-                    structlog.processors.JSONRenderer(sort_keys=True)]).bind(marshal=name)
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper("iso", key="at"),
+            structlog.processors.JSONRenderer(sort_keys=True),
+        ],
+    ).bind(marshal=name)
     return lambda kind, text: (logger.error if kind == "fault" else logger.info)(text, kind=kind)
 
 
--- a/brookreach/cli/talked.py
+++ b/brookreach/cli/talked.py
@@ -18,8 +18,9 @@
     from brookreach.fleet.talk import Talk
 
 File = click.Path(path_type=Path, dir_okay=False)
-WAIT = click.option("--wait", type=click.FloatRange(0.1, 600.0), default=10.0, show_default=True,
-                    help="Seconds for an answer.")
+WAIT = click.option(
+    "--wait", type=click.FloatRange(0.1, 600.0), default=10.0, show_default=True, help="Seconds for an answer."
+)
 REASON = click.option("--reason", required=True, help="For those who read the log.")
 
 
@@ -75,13 +76,25 @@
 
     known = {name: row for one in pieces() for name, row in one.tables.items()}
     known[sessions.SESSIONS] = sessions.TABLES[sessions.SESSIONS]
-    names = (NODES, MARSHALS, PERMITS, HALT, RELEASES, BUDGETS, ASSIGNED, GANGS, MEMBERS, ROOMS, CURRENT,
-             OFFERS, sessions.SESSIONS)
+    names = (
+        NODES,
+        MARSHALS,
+        PERMITS,
+        HALT,
+        RELEASES,
+        BUDGETS,
+        ASSIGNED,
+        GANGS,
+        MEMBERS,
+        ROOMS,
+        CURRENT,
+        OFFERS,
+        sessions.SESSIONS,
+    )
     return {name: known[name] for name in names}
 
 
-def asked(file: Path, wait_s: float, piece: str, order: Order,
-          then: Callable[[View], str] | None = None) -> None:
+def asked(file: Path, wait_s: float, piece: str, order: Order, then: Callable[[View], str] | None = None) -> None:
     """Prints the place and what stands there; a refusal in its words, and exit code 1."""
     answer, text = answers(file, wait_s, piece, [order], then)[0]
     if not answer.ok:
@@ -89,8 +102,14 @@
     click.echo(f"agreed at place {answer.index}{': ' if text else ''}{text}")
 
 
-def answers(file: Path, wait_s: float, piece: str, orders: Sequence[Order],
-            then: Callable[[View], str] | None = None, on: bool = False) -> list[tuple[Answered, str]]:
+def answers(
+    file: Path,
+    wait_s: float,
+    piece: str,
+    orders: Sequence[Order],
+    then: Callable[[View], str] | None = None,
+    on: bool = False,
+) -> list[tuple[Answered, str]]:
     """One after another in one session, each with what `then` says of it; to the first refusal, or `on`."""
     for order in orders:
         sayable(order)
--- a/brookreach/cli/verdict.py
+++ b/brookreach/cli/verdict.py
@@ -68,8 +68,9 @@
     from brookreach.verdict import record
 
     found = [record.replay(wave) for wave in waves_of(file, build)]
-    out(as_json, {"builds": [record.told(one) for one in found]},
-        lambda: "\n\n".join(record.show(one) for one in found))
+    out(
+        as_json, {"builds": [record.told(one) for one in found]}, lambda: "\n\n".join(record.show(one) for one in found)
+    )
 
 
 @verdict.command()
@@ -78,24 +79,23 @@
 @click.option("--false-alarm", type=RATE, help="Instead of the record's.")
 @click.option("--miss", type=RATE, help="Instead of the record's.")
 @click.option("--json", "as_json", is_flag=True, help="Print one object.")
-def replay(
-    file: Path, build: int | None, false_alarm: float | None, miss: float | None, as_json: bool
-) -> None:
+def replay(file: Path, build: int | None, false_alarm: float | None, miss: float | None, as_json: bool) -> None:
     """Judge the record FILE again under other stated rates; the news stay as they came."""
     from brookreach.verdict import record
 
     pairs = []
     for wave in waves_of(file, build):
         old = wave.start.stated
-        stated = ifc.Stated(old.false_alarm if false_alarm is None else false_alarm,
-                            old.miss if miss is None else miss)
+        stated = ifc.Stated(old.false_alarm if false_alarm is None else false_alarm, old.miss if miss is None else miss)
         pairs.append((record.replay(wave), record.replay(wave, stated), stated))
 
     def lines() -> str:
         return "\n\n".join(
             f"as it was:\n{record.show(was)}\n\n"
             f"with false alarm {stated.false_alarm:g}, miss {stated.miss:g}:\n"
-            f"{record.show(now)}" for was, now, stated in pairs)
+            f"{record.show(now)}"
+            for was, now, stated in pairs
+        )
 
     told = [{"was": record.told(was), "now": record.told(now)} for was, now, _ in pairs]
     out(as_json, {"builds": told}, lines)
--- a/brookreach/cli/waves.py
+++ b/brookreach/cli/waves.py
@@ -13,12 +13,8 @@
 @click.command()
 @click.argument("names", nargs=-1)
 @click.option("--seed", type=click.IntRange(0), default=1, show_default=True, help="The first seed.")
-@click.option(
-    "--seeds", type=click.IntRange(1, 1_000_000), default=20, show_default=True, help="Waves a case."
-)
-@click.option(
-    "--jobs", type=click.IntRange(1, 256), default=os.cpu_count() or 1, show_default=True, help="Processes."
-)
+@click.option("--seeds", type=click.IntRange(1, 1_000_000), default=20, show_default=True, help="Waves a case.")
+@click.option("--jobs", type=click.IntRange(1, 256), default=os.cpu_count() or 1, show_default=True, help="Processes.")
 @click.option(
     "--rows",
     type=click.Path(path_type=Path, dir_okay=False),
--- a/brookreach/drills/checkers.py
+++ b/brookreach/drills/checkers.py
@@ -57,8 +57,7 @@
             self.say(
                 "one record a place",
                 now,
-                f"{keeper} applies another record at {entry.index}: "
-                f"term {entry.term}, where term {known.term} stands",
+                f"{keeper} applies another record at {entry.index}: term {entry.term}, where term {known.term} stands",
             )
 
     def state(self, now: float, keeper: str, index: int, view: View) -> None:
@@ -173,9 +172,7 @@
         row: Any = self.reference.machine.view.get(table, what)
         if row is None or row.by != client or row.fence != fence:
             held = "nobody" if row is None else f"{row.by}, fence {row.fence}"
-            self.say(
-                "one holder at an instant", now, f"{client} acts on {what}, fence {fence}: {held} holds it"
-            )
+            self.say("one holder at an instant", now, f"{client} acts on {what}, fence {fence}: {held} holds it")
 
     # --- processes ---
 
--- a/brookreach/drills/facts.py
+++ b/brookreach/drills/facts.py
@@ -82,9 +82,7 @@
             self.reads[self.count] = self.acknowledged
             self.talker.beside.append(words.Read(self.count, rows.NODES, self.name))
         elif len(self.figures) < 4:
-            order = orders.NodeSeen(
-                self.name, "z1", 1, "drill", self.asked + 1, "ready", 1, True, client.mirror.index
-            )
+            order = orders.NodeSeen(self.name, "z1", 1, "drill", self.asked + 1, "ready", 1, True, client.mirror.index)
             try:
                 self.figures[client.ask(now_ms(), "outages", order)] = self.asked + 1
                 self.asked += 1
@@ -97,9 +95,7 @@
                 self.facts.look("one answer a question")
                 figure = self.figures.pop(event.seq, None)
                 if figure is None:
-                    self.facts.say(
-                        "one answer a question", f"{self.name}: question {event.seq} is answered twice"
-                    )
+                    self.facts.say("one answer a question", f"{self.name}: question {event.seq} is answered twice")
                 elif isinstance(event, events.Answered) and event.ok:
                     self.acknowledged = max(self.acknowledged, figure)
             case events.Changed():
--- a/brookreach/drills/faults.py
+++ b/brookreach/drills/faults.py
@@ -86,9 +86,7 @@
         case "cut" | "slow" | "lossy" | "doubles":
             other = chance.choice([one for one in everyone if one != keeper])
             one, two = (keeper, other) if chance.random() < 0.5 else (other, keeper)
-            size = {"slow": chance.randint(20, 500), "lossy": chance.randint(5, 60), "doubles": 50}.get(
-                kind, 0
-            )
+            size = {"slow": chance.randint(20, 500), "lossy": chance.randint(5, 60), "doubles": 50}.get(kind, 0)
             return [Fault(at, kind, (one,), (two,), span, size)]
         case "kill":
             return [Fault(at, kind, (anyone,), (), span, 0, chance.choice(("", "before", "after")))]
@@ -122,10 +120,7 @@
         case "rivals":
             slow = Fault(at, "slow", tuple(keepers), tuple(keepers), min(room, 2000), chance.randint(50, 400))
             gone = Fault(at, "kill", (LEADER,), (), min(room, chance.choice((short, 1500))))
-            dies = [
-                Fault(at + min(room, 1), "kill", (one,), (), min(room - 1, 1800), 0, "promise")
-                for one in keepers
-            ]
+            dies = [Fault(at + min(room, 1), "kill", (one,), (), min(room - 1, 1800), 0, "promise") for one in keepers]
             return [slow, gone, *(one for one in dies if one.for_ms > 0)]
         case "stop":
             return [Fault(at, kind, (anyone,), (), span)]
@@ -147,16 +142,10 @@
         *(Fault(at + 60, "kill", (one,), (), chance.randint(1200, 2800), 0, "first") for one in keepers),
         Fault(at + later, "kill", (LEADER,), (), chance.randint(800, 2500), 0, chance.choice(("", "after"))),
     ]
-    return [
-        replace(one, for_ms=min(one.for_ms, at + room - one.at_ms))
-        for one in planned
-        if one.at_ms < at + room
-    ]
+    return [replace(one, for_ms=min(one.for_ms, at + room - one.at_ms)) for one in planned if one.at_ms < at + room]
 
 
-def cut_down(
-    faults: list[Fault], fails: Callable[[list[Fault]], bool], most: int = 120
-) -> tuple[list[Fault], int]:
+def cut_down(faults: list[Fault], fails: Callable[[list[Fault]], bool], most: int = 120) -> tuple[list[Fault], int]:
     """Fewer faults that still fail, and how many plays that took: halves first, then one by one."""
     plays, size = 0, max(1, len(faults) // 2)
     while faults and plays < most:
--- a/brookreach/drills/fleet.py
+++ b/brookreach/drills/fleet.py
@@ -165,7 +165,5 @@
         return any(one.rule == rule for one in play(seed, fewer)[1])
 
     fewer, plays = faults.cut_down(planned, fails)
-    report.figures["cut down"] = (
-        f"seed {seed}, {rule}: {len(planned)} faults to {len(fewer)} in {plays} plays"
-    )
+    report.figures["cut down"] = f"seed {seed}, {rule}: {len(planned)} faults to {len(fewer)} in {plays} plays"
     report.figures["faults left"] = "; ".join(one.text() for one in fewer) or "none"
--- a/brookreach/drills/fleet_processes.py
+++ b/brookreach/drills/fleet_processes.py
@@ -56,10 +56,7 @@
         async with anyio.create_task_group() as tasks:
             await tasks.start(self.relay.run)
             self.began = anyio.current_time()
-            nodes = [
-                Node(name, self.group, self.facts, random.Random(f"{self.seed} {name}"))
-                for name in self.agents
-            ]
+            nodes = [Node(name, self.group, self.facts, random.Random(f"{self.seed} {name}")) for name in self.agents]
             for node in nodes:
                 tasks.start_soon(node.run)
             await self.until_answered(nodes, START_S, "the group begins")
@@ -83,9 +80,7 @@
                 await anyio.sleep(0.05)
         if scope.cancelled_caught:
             late = [
-                f"{node.name} sees {node.seen} of {marks[node.name]}"
-                for node in nodes
-                if node.seen < marks[node.name]
+                f"{node.name} sees {node.seen} of {marks[node.name]}" for node in nodes if node.seen < marks[node.name]
             ]
             self.say(
                 rule,
--- a/brookreach/drills/gangs.py
+++ b/brookreach/drills/gangs.py
@@ -57,7 +57,12 @@
 def _gang(chance: random.Random, name: str) -> Submit:
     members, work = chance.randint(1, 4), chance.randint(2, 30) * 60_000
     return Submit(
-        name, members, chance.randint(1, 3), work, chance.randint(2, 10) * 1000, chance.randint(2, 15) * 1000,
+        name,
+        members,
+        chance.randint(1, 3),
+        work,
+        chance.randint(2, 10) * 1000,
+        chance.randint(2, 15) * 1000,
         BASE + chance.randint(40, 200) * 60_000 if chance.random() < 0.5 else 0,
     )
 
@@ -114,8 +119,9 @@
 }
 
 
-def run(seed: int, seeds: int, plant: str = "", progress: Callable[[int, int], None] | None = None,
-        processes: int = 0) -> Report:
+def run(
+    seed: int, seeds: int, plant: str = "", progress: Callable[[int, int], None] | None = None, processes: int = 0
+) -> Report:
     """So many worlds, one a seed; with a planted defect it ends at the first that shows it.
 
     With `processes` nodes: between processes of the program.
@@ -148,5 +154,3 @@
             figures["records"] += world.index
     report.figures = dict(figures)
     return report
-
-
--- a/brookreach/drills/gangs_base.py
+++ b/brookreach/drills/gangs_base.py
@@ -79,8 +79,11 @@
 BASELINES: dict[str, list[Patch]] = {
     "piece": [],
     "no notice heard": [
-        (move, "leaves_ms", _unheard), (steps, "leaves_ms", _unheard), (epochs, "leaves_ms", _unheard),
-        (place, "stays", _stays_blind), (steps, "stays", _stays_blind),
+        (move, "leaves_ms", _unheard),
+        (steps, "leaves_ms", _unheard),
+        (epochs, "leaves_ms", _unheard),
+        (place, "stays", _stays_blind),
+        (steps, "stays", _stays_blind),
         (place, "Free", lambda right: lambda *told: right(*told[:5], 0)),
     ],
     "checkpoint at each notice": [(move, "decide", _at_once)],
@@ -175,9 +178,7 @@
     work and a load each. Of the fewest nodes that it could stand on.
     """
     work, mtbf = float(row.work_ms), PRIOR_MS / -(-row.members * row.room // 8)
-    return min(
-        count * row.cost_ms + work / mtbf * (work / count / 2.0 + row.load_ms) for count in range(1, 100)
-    )
+    return min(count * row.cost_ms + work / mtbf * (work / count / 2.0 + row.load_ms) for count in range(1, 100))
 
 
 def _leaves(world: World, name: str, row: GangRow) -> tuple[int, int]:
--- a/brookreach/drills/gangs_check.py
+++ b/brookreach/drills/gangs_check.py
@@ -103,9 +103,7 @@
                 say("a permit for each move", at, f"{gang}/{member} is taken off {life.node}, which stands")
 
 
-def _intact(
-    world: World, by_member: dict[tuple[str, int], list[Life]], gang: str, members: int, at: float
-) -> bool:
+def _intact(world: World, by_member: dict[tuple[str, int], list[Life]], gang: str, members: int, at: float) -> bool:
     """Did all members live, loaded, up to the order that stops one; was no agent thought gone?"""
     before = at - 5000.0
     nodes = set()
--- a/brookreach/drills/gangs_files.py
+++ b/brookreach/drills/gangs_files.py
@@ -46,8 +46,11 @@
             _take(found, path.stem, json.loads(line), killed.get(path.stem, ()))
     for spans in found.spans.values():
         spans.sort(key=lambda one: one.start)
-        found.over += [(one.node, one.fence, one.end, now) for one in spans if not one.ended and now > one.end
-                       and all(at < one.start for at in killed.get(one.node, ()))]
+        found.over += [
+            (one.node, one.fence, one.end, now)
+            for one in spans
+            if not one.ended and now > one.end and all(at < one.start for at in killed.get(one.node, ()))
+        ]
     return found
 
 
@@ -71,26 +74,39 @@
     return float(min([told["until"], *(one for one in killed if one >= start)]))
 
 
-def check(town: Town, found: Found, members: Mapping[str, int],
-          paused: Mapping[str, Sequence[tuple[float, float]]]) -> None:
+def check(
+    town: Town, found: Found, members: Mapping[str, int], paused: Mapping[str, Sequence[tuple[float, float]]]
+) -> None:
     """`members` by gang; `paused`: when each node's process was stopped, and so nothing worked there."""
     for node, fence, until, stop in found.over:
         slept = any(begin <= stop and until <= end + LATE_MS for begin, end in paused.get(node, ()))
-        town.look("nothing works past its grant", slept or stop <= until + LATE_MS,
-                  lambda node=node, fence=fence, until=until, stop=stop:
-                  f"fence {fence} on {node} ended at {stop:.0f}, its grant at {until:.0f}")
+        town.look(
+            "nothing works past its grant",
+            slept or stop <= until + LATE_MS,
+            lambda node=node, fence=fence, until=until, stop=stop: (
+                f"fence {fence} on {node} ended at {stop:.0f}, its grant at {until:.0f}"
+            ),
+        )
     for (gang, member), spans in sorted(found.spans.items()):
         for before, after in zip(spans, spans[1:], strict=False):
-            town.look("one incarnation of a member at an instant", after.start >= before.end,
-                      lambda gang=gang, member=member, before=before, after=after:
-                      f"{gang}/{member}: {before}, then {after}")
-            town.look("a member's fence grows", after.fence > before.fence,
-                      lambda gang=gang, member=member, before=before, after=after:
-                      f"{gang}/{member}: {before}, then {after}")
+            town.look(
+                "one incarnation of a member at an instant",
+                after.start >= before.end,
+                lambda gang=gang, member=member, before=before, after=after: f"{gang}/{member}: {before}, then {after}",
+            )
+            town.look(
+                "a member's fence grows",
+                after.fence > before.fence,
+                lambda gang=gang, member=member, before=before, after=after: f"{gang}/{member}: {before}, then {after}",
+            )
         for span in spans:
             if span.epoch:
                 saved = found.saved.get((gang, span.epoch), {})
                 whole = [one for one in range(members[gang]) if saved.get(one, span.start) < span.start]
-                town.look("starts from what all kept", len(whole) == members[gang],
-                          lambda gang=gang, member=member, span=span, saved=saved:
-                          f"{gang}/{member} starts from epoch {span.epoch}: {span}, kept {saved}")
+                town.look(
+                    "starts from what all kept",
+                    len(whole) == members[gang],
+                    lambda gang=gang, member=member, span=span, saved=saved: (
+                        f"{gang}/{member} starts from epoch {span.epoch}: {span}, kept {saved}"
+                    ),
+                )
--- a/brookreach/drills/gangs_model.py
+++ b/brookreach/drills/gangs_model.py
@@ -35,9 +35,7 @@
 
 
 class World:
-    def __init__(
-        self, seed: int, most: int = 8, lease: float = 3000.0, poll: float = 4000.0, rough: bool = True
-    ):
+    def __init__(self, seed: int, most: int = 8, lease: float = 3000.0, poll: float = 4000.0, rough: bool = True):
         self.chance, self.now, self.index = random.Random(seed), 0.0, 0
         self.piece, self.view, self.truth = Gangs(Budget(most)), Ordered(), Truth()
         self.lease, self.poll, self.rough = lease, poll, rough
@@ -69,7 +67,7 @@
     # --- the agreed state ---
 
     def record(self, by: str, kind: str, session: int, order: Orders) -> str:
-        """"" or why it was refused."""
+        """ "" or why it was refused."""
         if kind == "agent" and self.sessions.get(by, (0, 0.0))[0] != session:
             return "no session"
         self.index += 1
--- a/brookreach/drills/gangs_processes.py
+++ b/brookreach/drills/gangs_processes.py
@@ -38,8 +38,17 @@
 class Play:
     """`case` and `callers`: of a drill that has these nodes and gangs too, with its own breaks."""
 
-    def __init__(self, seed: int, nodes: int, folder: Path, children: Children, report: Report,
-                 kinds: Sequence[str], case: str = "gangs", callers: Sequence[str] = ()):
+    def __init__(
+        self,
+        seed: int,
+        nodes: int,
+        folder: Path,
+        children: Children,
+        report: Report,
+        kinds: Sequence[str],
+        case: str = "gangs",
+        callers: Sequence[str] = (),
+    ):
         self.nodes = [f"n{at + 1}" for at in range(nodes)]
         self.town = town = Town(seed, folder, children, report, case, [*self.nodes, "ann", *callers])
         self.ann = Operator("ann", town.group, TABLES, seed)
@@ -57,8 +66,7 @@
             member = {"id": name, "locality": "ab"[at % 2], "revision_no": 1}
             path = folder / f"{name}.json"
             path.write_text(json.dumps({"known": {"members": [member]}}))
-            town.add(name, "fleet", "agent", town.file[name], str(path), "--gangs", str(folder / "work"),
-                     "--room", "4")
+            town.add(name, "fleet", "agent", town.file[name], str(path), "--gangs", str(folder / "work"), "--room", "4")
 
     def breaks(self) -> Mapping[str, Callable[[Any], Awaitable[None]]]:
         return BREAKS
@@ -85,8 +93,7 @@
                 await self.others(tasks)
                 for kind in self.kinds:
                     await self.submit()
-                    await town.until(self.running, "gangs run",
-                                     why=lambda kind=kind: f"before {kind}: {self.lacks()}")
+                    await town.until(self.running, "gangs run", why=lambda kind=kind: f"before {kind}: {self.lacks()}")
                     await self.breaks()[kind](self)
                     town.count(f"breaks: {kind}")
                 await self.at_end()
@@ -105,18 +112,19 @@
     def running(self) -> bool:
         """Nobody waits or is on the way."""
         return all(one in self.gangs() for one in self.members) and all(
-            row.state in ("running", "done") or self.may_wait(row) for row in self.gangs().values())
+            row.state in ("running", "done") or self.may_wait(row) for row in self.gangs().values()
+        )
 
     def may_wait(self, row: GangRow) -> bool:
         return False
 
     def over(self) -> bool:
-        return all(one in self.gangs() and self.gangs()[one].state == "done"
-                   for one in self.members.keys() - self.cancelled)
+        return all(
+            one in self.gangs() and self.gangs()[one].state == "done" for one in self.members.keys() - self.cancelled
+        )
 
     def lacks(self) -> str:
-        told = [f"{name} {row.state}: {row.reason}" for name, row in self.gangs().items()
-                if row.state != "done"]
+        told = [f"{name} {row.state}: {row.reason}" for name, row in self.gangs().items() if row.state != "done"]
         members = [f"{key} {row.state} on {row.node}" for key, row in self.mirror.rows(MEMBERS)]
         return f"hands {[(one, row.session) for one, row in self.mirror.rows(HANDS)]}, {told}, {members}"
 
@@ -143,8 +151,13 @@
     def placed(self) -> list[str]:
         """Nodes where members of gangs run that have not ended."""
         live = [name for name, row in self.gangs().items() if row.state not in OVER]
-        return sorted({row.node for key, row in self.mirror.rows(MEMBERS)
-                       if key.split("/")[0] in live and row.node and row.node not in self.retired})
+        return sorted(
+            {
+                row.node
+                for key, row in self.mirror.rows(MEMBERS)
+                if key.split("/")[0] in live and row.node and row.node not in self.retired
+            }
+        )
 
     def one(self) -> str:
         return self.town.chance.choice(self.placed() or self.nodes)
@@ -162,8 +175,9 @@
         await town.until(lambda: seq in self.ann.answers, "an operator hears what became of it")
         if self.ann.answers[seq] is None:
             await self.ann.ask("gangs", Noticed(node))
-        await town.until(lambda: node not in self.placed_all() and self.running(), "a notice moves the gang",
-                         RETIRES_S, self.lacks)
+        await town.until(
+            lambda: node not in self.placed_all() and self.running(), "a notice moves the gang", RETIRES_S, self.lacks
+        )
         self.left_by[node] = (now + AHEAD_MS / 1000.0 + LEASE_S) * 1000.0
 
     def placed_all(self) -> list[str]:
@@ -191,8 +205,9 @@
         await self.town.link(self.town.ways([self.one()], KEEPERS), LEASE_S * 1.5, cut=True)
 
     async def rough_links(self) -> None:
-        await self.town.link(list(self.town.relay.ways.values()), 1.5, delay_ms=10.0, spread_ms=60.0,
-                             double=0.2, change=0.01)
+        await self.town.link(
+            list(self.town.relay.ways.values()), 1.5, delay_ms=10.0, spread_ms=60.0, double=0.2, change=0.01
+        )
 
     async def keepers_restarted(self) -> None:
         await self.town.down(KEEPERS, 0.2)
@@ -233,12 +248,16 @@
 }
 
 
-def run(seed: int, seeds: int, processes: int, progress: Callable[[int, int], None] | None,
-        kinds: Sequence[str] = ()) -> Report:
+def run(
+    seed: int, seeds: int, processes: int, progress: Callable[[int, int], None] | None, kinds: Sequence[str] = ()
+) -> Report:
     """`processes` nodes; `kinds`: breaks in that order, else all of them in one by the seed."""
     if not 4 <= processes <= MOST_NODES:
         raise ValueError(f"--processes {processes}: 4 to {MOST_NODES} nodes are allowed")
     return played(
-        "gangs", range(seed, seed + seeds), processes + len(KEEPERS), progress,
+        "gangs",
+        range(seed, seed + seeds),
+        processes + len(KEEPERS),
+        progress,
         lambda one, folder, children, report: Play(one, processes, folder, children, report, kinds),
     )
--- a/brookreach/drills/mutate_frame.py
+++ b/brookreach/drills/mutate_frame.py
@@ -51,12 +51,8 @@
         yield sealed(frame, "other sender", "", f"said by {other}", made, other)
         made = octets(seal.VERSION, GROUP, frame.source, other)
         yield sealed(frame, "for another", "", f"for {other}", made)
-    yield sealed(
-        frame, "other group", "", "other group", octets(seal.VERSION, "x" + GROUP, frame.source, frame.target)
-    )
-    yield sealed(
-        frame, "other group", "", "next version", octets(seal.VERSION + 1, GROUP, frame.source, frame.target)
-    )
+    yield sealed(frame, "other group", "", "other group", octets(seal.VERSION, "x" + GROUP, frame.source, frame.target))
+    yield sealed(frame, "other group", "", "next version", octets(seal.VERSION + 1, GROUP, frame.source, frame.target))
     yield Change("doubled", "", "doubled", (same, Sent(frame.octets, frame.body, 4.0)))
     yield Change("dropped", "", "dropped", ())
     for later in (5.0, 60.0, 400.0):
@@ -81,16 +77,12 @@
     yield sealed(frame, "past its bounds", "", "a byte more, sealed again", resealed(rest + b"\0"))
     yield plain("past its bounds", "longer than any", octets + bytes(words.MOST_FRAME))
     yield plain("old seal", "sealed with another key", resealed(rest, b"another key"))
-    yield plain(
-        "old seal", "the next frame's body under this seal", octets[: seal.SEAL] + rest[:-1] + b"\0\0"
-    )
+    yield plain("old seal", "the next frame's body under this seal", octets[: seal.SEAL] + rest[:-1] + b"\0\0")
     for how, at in (("in its seal", 3), ("in its head", seal.SEAL + 1), ("its last", len(octets) - 1)):
         yield plain("a bit", how, flipped(octets, at, 1))
     for nth in range(4):
         at, bit = chance.randrange(len(rest)), 1 << chance.randrange(8)
-        yield sealed(
-            frame, "a bit, sealed again", "", f"place {nth + 1} of 4", resealed(flipped(rest, at, bit))
-        )
+        yield sealed(frame, "a bit, sealed again", "", f"place {nth + 1} of 4", resealed(flipped(rest, at, bit)))
 
 
 def flipped(octets: bytes, at: int, bit: int) -> bytes:
--- a/brookreach/drills/mutation.py
+++ b/brookreach/drills/mutation.py
@@ -66,9 +66,7 @@
             if per[kind] > 4 * self.most:  # as many alike as are looked into
                 continue
             others = [
-                name
-                for name in (*play.case.keepers, play.case.clients[0])
-                if name not in (frame.source, frame.target)
+                name for name in (*play.case.keepers, play.case.clients[0]) if name not in (frame.source, frame.target)
             ]
             for change in (*changes(records, frame, others, chance), *moves(frame)):
                 cell = found.setdefault((kind, change.name), [])
@@ -190,10 +188,7 @@
                 report.broken(Violation("the same run again", "recorded run", one, 0.0, "another trace"))
             runs += 1
             for frame, change, broken in mutation.defects:
-                told = (
-                    "; ".join(f"{rule}: {text}" for rule, text in broken)
-                    or "taken, where it has to be refused"
-                )
+                told = "; ".join(f"{rule}: {text}" for rule, text in broken) or "taken, where it has to be refused"
                 report.broken(
                     Violation(
                         "one changed message",
--- a/brookreach/drills/mutation_report.py
+++ b/brookreach/drills/mutation_report.py
@@ -63,9 +63,7 @@
             names.add("its kind")
         elif one.body is not None:
             names |= {
-                name
-                for name in frame.body.__struct_fields__
-                if getattr(one.body, name) != getattr(frame.body, name)
+                name for name in frame.body.__struct_fields__ if getattr(one.body, name) != getattr(frame.body, name)
             }
     return names
 
@@ -84,9 +82,7 @@
     return trusted == ALL or fields <= set(trusted)
 
 
-def verdict(
-    frame: Frame, change: Change, reaction: Reaction | None, broken: Iterable[tuple[str, str]]
-) -> str:
+def verdict(frame: Frame, change: Change, reaction: Reaction | None, broken: Iterable[tuple[str, str]]) -> str:
     broken = list(broken)
     if broken:
         return TRUST if within_trust(frame, change, broken) else DEFECT
@@ -139,19 +135,14 @@
             "played": sum(self.cells.values()),
             "by column": {column: self.total(column) for column in COLUMNS},
             "refusals by name": dict(sorted(self.names.items())),
-            "messages never said": [
-                kind for kind in kinds if not any(one == kind for one, _, _ in self.cells)
-            ],
-            "table": [
-                self.row(kind, family) for kind in kinds for family in FAMILIES if self.seen(kind, family)
-            ],
+            "messages never said": [kind for kind in kinds if not any(one == kind for one, _, _ in self.cells)],
+            "table": [self.row(kind, family) for kind in kinds for family in FAMILIES if self.seen(kind, family)],
             "trusted": {
                 f"{message} {way}": dict(sorted(rules.items()))
                 for (message, way), rules in sorted(self.trusted.items())
             },
             "ways": {
-                f"{message} {way}: {column}": count
-                for (message, way, column), count in sorted(self.ways.items())
+                f"{message} {way}: {column}": count for (message, way, column), count in sorted(self.ways.items())
             },
         }
 
@@ -166,8 +157,7 @@
         told = self.told()
         head = f"{'message':<10} {'change':<22}" + "".join(f"{column:>19}" for column in COLUMNS)
         rows = [
-            f"{row[0]:<10} {row[1]:<22}" + "".join(f"{count or '.':>19}" for count in row[2:])
-            for row in told["table"]
+            f"{row[0]:<10} {row[1]:<22}" + "".join(f"{count or '.':>19}" for count in row[2:]) for row in told["table"]
         ]
         trusted = [f"  trusted: {way}: {', '.join(rules)}" for way, rules in told["trusted"].items()]
         why = sorted({(message, TRUSTED[message][1]) for message, _ in self.trusted if message in TRUSTED})
--- a/brookreach/drills/outages.py
+++ b/brookreach/drills/outages.py
@@ -133,8 +133,9 @@
                     self.fleet.ask(one.name, "marshal", orders.Voted(row.build, row.stage, verdict))
 
 
-def run(seed: int, seeds: int, plant: str = "", progress: Callable[[int, int], None] | None = None,
-        processes: int = 0) -> Report:
+def run(
+    seed: int, seeds: int, plant: str = "", progress: Callable[[int, int], None] | None = None, processes: int = 0
+) -> Report:
     if processes:
         from brookreach.drills import outages_processes
 
@@ -190,7 +191,10 @@
     "planned-only": (targets, "is_out", lambda right: lambda row, held: right(_ready(row), held)),
     "timed-out": (permits, "late", _late_ends),
     "halt-forgotten": (
-        outages_group, "kept", lambda right: lambda all_: {k: v for k, v in all_.items() if k != rows.HALT}),
+        outages_group,
+        "kept",
+        lambda right: lambda all_: {k: v for k, v in all_.items() if k != rows.HALT},
+    ),
     "any-fence": (halt, "lift", _any_fence),
     "sent-back-returns": (releases, "may_begin", lambda right: lambda view, order: None),
     "old-life-is-back": (permits, "is_back", lambda right: lambda one, row, heard: row.standing == "ready"),
--- a/brookreach/drills/outages_breaks.py
+++ b/brookreach/drills/outages_breaks.py
@@ -44,8 +44,9 @@
 
     async def rough_links(self) -> None:
         """All of them delay and overtake, say things twice, and change bits."""
-        await self.town.link(list(self.town.relay.ways.values()), CUT_S, delay_ms=10.0, spread_ms=60.0,
-                             double=0.2, change=0.01)
+        await self.town.link(
+            list(self.town.relay.ways.values()), CUT_S, delay_ms=10.0, spread_ms=60.0, double=0.2, change=0.01
+        )
 
     # --- marshals and agents ---
 
@@ -64,15 +65,15 @@
         await play.bob.ask("outages", order)
         for one in play.marshals:
             code = await anyio.to_thread.run_sync(town.children.all[one].end)
-            town.look("SIGTERM ends it with 0", code == 0,
-                      lambda one=one, code=code: f"{one} ends with {code}")
+            town.look("SIGTERM ends it with 0", code == 0, lambda one=one, code=code: f"{one} ends with {code}")
         town.start(play.marshals)
 
         def back() -> bool:
             marshals = dict(play.eye.client.mirror.rows(rows.MARSHALS))
             permit = play.eye.client.mirror.get(rows.PERMITS, name)
-            return (all(one in marshals and marshals[one].standing == "ready" for one in play.marshals)
-                    and (permit is None or permit.state not in ("given", "returning")))
+            return all(one in marshals and marshals[one].standing == "ready" for one in play.marshals) and (
+                permit is None or permit.state not in ("given", "returning")
+            )
 
         await town.until(back, "marshals come back, their permit ends", why=play.lacks)
 
@@ -92,8 +93,7 @@
         agreed = [one for one in answers if one is not None and one.ok]
         if agreed:
             await self.play.come_to(max(one.index for one in agreed))
-            self.town.look("one permit by one name", name in self.play.watch.seen,
-                           lambda: f"{name}: {answers}")
+            self.town.look("one permit by one name", name in self.play.watch.seen, lambda: f"{name}: {answers}")
 
     async def halt_and_old_fence(self) -> None:
         """A halt, again a halt; the first one's fence lifts nothing."""
@@ -102,12 +102,10 @@
         if not old or not new:
             return
         answer = await play.ann.ask("outages", orders.Resume(old, "drill"))
-        self.town.look("an old fence lifts nothing", answer is None or not answer.ok,
-                       lambda: f"{old}: {answer}")
+        self.town.look("an old fence lifts nothing", answer is None or not answer.ok, lambda: f"{old}: {answer}")
         await anyio.sleep(0.5)  # meanwhile drains are asked for
         halt = play.eye.client.mirror.get(rows.HALT, "all")
-        self.town.look("an old fence lifts nothing", halt is not None and halt.fence == new,
-                       lambda: f"{new}: {halt}")
+        self.town.look("an old fence lifts nothing", halt is not None and halt.fence == new, lambda: f"{new}: {halt}")
         await play.resume()
 
     async def halt(self, one: Any) -> int:
@@ -117,8 +115,11 @@
             return 0
         await self.play.come_to(answer.index)
         halt = self.play.eye.client.mirror.get(rows.HALT, "all")
-        self.town.look("an acknowledged halt stands", halt is not None and halt.fence >= answer.index,
-                       lambda: f"halt {answer.index}, agreed; {halt} stands")
+        self.town.look(
+            "an acknowledged halt stands",
+            halt is not None and halt.fence >= answer.index,
+            lambda: f"halt {answer.index}, agreed; {halt} stands",
+        )
         return int(answer.index)
 
     async def halt_on_losing_side(self) -> None:
@@ -133,12 +134,16 @@
         await anyio.sleep(0.05)
         before = len(play.ann.all)
         seq = play.bob.say("outages", orders.Halt("from the losing side"))
-        await town.until(lambda: len(play.ann.all) > before, "the greater half goes on",
-                         why=lambda: f"{leader} is cut off")
+        await town.until(
+            lambda: len(play.ann.all) > before, "the greater half goes on", why=lambda: f"{leader} is cut off"
+        )
         await anyio.sleep(ASK_S)
         early = play.bob.answers.get(seq)  # not asked at all is an answer too
-        town.look("nothing is agreed by the lesser half", early is None or not early.index,
-                  lambda: f"{early} while {leader} was cut off")
+        town.look(
+            "nothing is agreed by the lesser half",
+            early is None or not early.index,
+            lambda: f"{early} while {leader} was cut off",
+        )
         for way in ways:
             way.calm()
         await town.until(lambda: seq in play.bob.answers, "who asked on the losing side hears of it")
--- a/brookreach/drills/outages_drain.py
+++ b/brookreach/drills/outages_drain.py
@@ -96,8 +96,10 @@
             record_ms = (time.process_time() - began) * 1000 / seeds / (3 * nodes)
             asked = "asked by chance" if spread else "asked zone by zone"
             back, went = ([one[at] for one in ratios] for at in (0, 1))
-            print(f"{way}, {asked}: back {statistics.median(back):.3f}, worst {max(back):.3f}; "
-                  f"went {statistics.median(went):.3f}, worst {max(went):.3f}; a record {record_ms:.3f} ms")
+            print(
+                f"{way}, {asked}: back {statistics.median(back):.3f}, worst {max(back):.3f}; "
+                f"went {statistics.median(went):.3f}, worst {max(went):.3f}; a record {record_ms:.3f} ms"
+            )
 
 
 if __name__ == "__main__":
--- a/brookreach/drills/outages_model.py
+++ b/brookreach/drills/outages_model.py
@@ -43,9 +43,7 @@
 class Fleet:
     """Members on a group, in virtual time. `watch` has goes(member, name, permit) and starts(member)."""
 
-    def __init__(
-        self, seed: int, members: list[Member], watch: Any, quick_ms: tuple[int, int] = (2000, 9000)
-    ):
+    def __init__(self, seed: int, members: list[Member], watch: Any, quick_ms: tuple[int, int] = (2000, 9000)):
         self.chance, self.watch, self.quick_ms = random.Random(seed), watch, quick_ms
         self.now, self.nth, self.quorum = START_MS, 0, True
         self.agenda: list[tuple[int, int, Callable[[], None]]] = []
@@ -146,11 +144,9 @@
         standing: Any = one.state
         warm = standing == "ready"
         if one.kind == "node":
-            seen = orders.NodeSeen(
-                one.name, one.zone, one.build, one.service, 10, standing, one.life, warm, one.heard)
+            seen = orders.NodeSeen(one.name, one.zone, one.build, one.service, 10, standing, one.life, warm, one.heard)
         else:
-            seen = orders.MarshalSeen(
-                one.name, one.zone, one.build, one.service, standing, warm, one.heard)
+            seen = orders.MarshalSeen(one.name, one.zone, one.build, one.service, standing, warm, one.heard)
         session = self.group.sessions.get(one.name, 0)
         one.last_ms = max(one.last_ms, self.now + self.chance.randint(5, 300))
         self.at(one.last_ms - self.now, lambda: self._arrives(one, session, seen))
@@ -172,7 +168,12 @@
         self.at(self.chance.randint(1, 400), lambda: self._acts(one, starts, index, known, assign, halted))
 
     def _acts(
-        self, one: Member, starts: int, index: int, known: Mapping[str, rows.PermitRow], assign: Any,
+        self,
+        one: Member,
+        starts: int,
+        index: int,
+        known: Mapping[str, rows.PermitRow],
+        assign: Any,
         halted: Any,
     ) -> None:
         if one.cut or one.starts != starts or one.state == "down" or index < one.heard:
--- a/brookreach/drills/outages_processes.py
+++ b/brookreach/drills/outages_processes.py
@@ -28,8 +28,10 @@
 MOST_MARSHALS = 8
 AWAY_MS, CALL_S, DRAIN_S, TRIES = 1000, 0.02, 0.25, 20
 MOST = {"all": 2, "zone:a": 1, "zone:b": 1}
-LINES = (*(orders.BudgetFor("node", scope, most, 1) for scope, most in MOST.items()),
-         orders.BudgetFor("marshal", "all", 1, 1))
+LINES = (
+    *(orders.BudgetFor("node", scope, most, 1) for scope, most in MOST.items()),
+    orders.BudgetFor("marshal", "all", 1, 1),
+)
 TABLES = {name: PIECE.tables[name] for name in (rows.PERMITS, rows.NODES, rows.MARSHALS, rows.HALT)}
 
 
@@ -49,8 +51,9 @@
 
 
 class Play:
-    def __init__(self, seed: int, marshals: int, folder: Path, children: Children, report: Report,
-                 kinds: Sequence[str]):
+    def __init__(
+        self, seed: int, marshals: int, folder: Path, children: Children, report: Report, kinds: Sequence[str]
+    ):
         told = json.loads(EXAMPLE.read_text())
         self.zones = {one["id"]: one["locality"] for one in told["known"]["members"]}
         self.names = list(self.zones)
@@ -94,8 +97,9 @@
         for name in self.marshals:
             town.add(name, "run", str(town.folder / f"{name}.json"), "--fleet", town.file[name])
         for node, name in self.agents.items():
-            town.add(name, "fleet", "agent", town.file[name], str(town.folder / f"{node}.json"),
-                     "--away-ms", str(AWAY_MS))
+            town.add(
+                name, "fleet", "agent", town.file[name], str(town.folder / f"{node}.json"), "--away-ms", str(AWAY_MS)
+            )
 
     async def run(self) -> None:
         town = self.town
@@ -122,8 +126,11 @@
             before = len(self.ann.all)
             await BREAKS[kind](breaks)
             self.town.count(f"breaks: {kind}")
-            await self.town.until(lambda before=before: len(self.ann.all) > before, "the group goes on",
-                                  why=lambda kind=kind: f"after {kind}")
+            await self.town.until(
+                lambda before=before: len(self.ann.all) > before,
+                "the group goes on",
+                why=lambda kind=kind: f"after {kind}",
+            )
 
     # --- what goes on all the while ---
 
@@ -158,8 +165,9 @@
         lacks = [name for name in self.names if name not in nodes or nodes[name].standing != "ready"]
         lacks += [one for one in self.marshals if one not in marshals or marshals[one].standing != "ready"]
         told = [f"{one} is not ready" for one in lacks]
-        told += [f"{one} is not over" for one, row in mirror.rows(rows.PERMITS)
-                 if row.state in OUT or row.state == "waiting"]
+        told += [
+            f"{one} is not over" for one, row in mirror.rows(rows.PERMITS) if row.state in OUT or row.state == "waiting"
+        ]
         return ", ".join(told)
 
     async def at_end(self) -> None:
@@ -176,12 +184,14 @@
         answer = await self.ann.ask("outages", orders.AskDrain("last", self.names[0], 5, "drill"))
         town.look("drains go on after all", answer is not None and answer.ok, lambda: f"answered {answer}")
         place = answer.index if answer else 0
-        await town.until(lambda: self.watch.index >= place and self.whole(), "the last drain ends",
-                         why=self.lacks)
+        await town.until(lambda: self.watch.index >= place and self.whole(), "the last drain ends", why=self.lacks)
         for one in (*self.ann.all, *self.bob.all):
             if isinstance(one.order, orders.AskDrain | orders.AskRestart) and one.answer.ok:
-                town.look("no acknowledged order lost", one.order.name in self.watch.seen,
-                          lambda one=one: f"{one.order} of {one.who} at {one.answer.index}")
+                town.look(
+                    "no acknowledged order lost",
+                    one.order.name in self.watch.seen,
+                    lambda one=one: f"{one.order} of {one.who} at {one.answer.index}",
+                )
         self.watch.acts()
         self.watch.told()
         town.count("queries heard by nodes", len(self.watch.calls))
@@ -199,19 +209,24 @@
             if answer is not None and answer.ok:
                 await self.come_to(answer.index)
             await anyio.sleep(0.1)
-        self.town.look("a halt's own fence lifts it", self.eye.client.mirror.get(rows.HALT, "all") is None,
-                       lambda: f"{answer}")
+        self.town.look(
+            "a halt's own fence lifts it", self.eye.client.mirror.get(rows.HALT, "all") is None, lambda: f"{answer}"
+        )
 
     async def come_to(self, place: int) -> None:
         await self.town.until(lambda: self.watch.index >= place, "the onlooker comes along")
 
 
-def run(seed: int, seeds: int, processes: int, progress: Callable[[int, int], None] | None,
-        kinds: Sequence[str] = ()) -> Report:
+def run(
+    seed: int, seeds: int, processes: int, progress: Callable[[int, int], None] | None, kinds: Sequence[str] = ()
+) -> Report:
     """`processes` marshals; `kinds`: breaks in that order, else all of them in one by the seed."""
     if processes > MOST_MARSHALS:
         raise ValueError(f"--processes {processes}: 3 to {MOST_MARSHALS} marshals are allowed")
     return played(
-        "outages", range(seed, seed + seeds), processes + len(KEEPERS) + 4, progress,
+        "outages",
+        range(seed, seed + seeds),
+        processes + len(KEEPERS) + 4,
+        progress,
         lambda one, folder, children, report: Play(one, processes, folder, children, report, kinds),
     )
--- a/brookreach/drills/outages_rules.py
+++ b/brookreach/drills/outages_rules.py
@@ -125,5 +125,3 @@
 
 def _scopes(one: Member) -> tuple[str, str, str]:
     return "all", f"zone:{one.zone}", f"service:{one.service}"
-
-
--- a/brookreach/drills/outages_watch.py
+++ b/brookreach/drills/outages_watch.py
@@ -44,14 +44,16 @@
 
     def changed(self, event: Changed) -> None:
         town = self.town
-        town.look("a mirror never goes back", event.index >= self.index,
-                  lambda: f"{event.index} after {self.index}")
+        town.look("a mirror never goes back", event.index >= self.index, lambda: f"{event.index} after {self.index}")
         self.index = event.index
         rows: dict[str, PermitRow] = dict(self.mirror.rows(PERMITS))
         for name, row in rows.items():
             self.permit(name, row)
-        town.look("no permit forgotten", rows.keys() >= self.seen.keys(),
-                  lambda: f"at {event.index}: {sorted(self.seen.keys() - rows.keys())} are missing")
+        town.look(
+            "no permit forgotten",
+            rows.keys() >= self.seen.keys(),
+            lambda: f"at {event.index}: {sorted(self.seen.keys() - rows.keys())} are missing",
+        )
         self.seen = rows
         self.budgets(rows)
         for name, node in self.mirror.rows(NODES):
@@ -61,28 +63,37 @@
         if halt is not None:
             self.halts.add(halt.fence)
             against = [name for name, row in rows.items() if halt.fence < row.fence <= event.index]
-            town.look("nothing is given during a halt", not against,
-                      lambda: f"halt {halt.fence} stands at {event.index}; {against} were given after it")
+            town.look(
+                "nothing is given during a halt",
+                not against,
+                lambda: f"halt {halt.fence} stands at {event.index}; {against} were given after it",
+            )
 
     def permit(self, name: str, row: PermitRow) -> None:
         before = self.seen.get(name)
         if before == row:
             return
         if before is not None and before.fence:
-            self.town.look("a fence stands", row.fence == before.fence,
-                           lambda: f"{name}: {before.fence}, then {row.fence}")
+            self.town.look(
+                "a fence stands", row.fence == before.fence, lambda: f"{name}: {before.fence}, then {row.fence}"
+            )
         elif row.fence:
-            others = [one.fence for other, one in self.seen.items()
-                      if other != name and one.target == row.target]
-            self.town.look("a target's fence grows", row.fence > max(others, default=0),
-                           lambda: f"{name} for {row.target}: {row.fence} after {others}")
+            others = [one.fence for other, one in self.seen.items() if other != name and one.target == row.target]
+            self.town.look(
+                "a target's fence grows",
+                row.fence > max(others, default=0),
+                lambda: f"{name} for {row.target}: {row.fence} after {others}",
+            )
 
     def budgets(self, rows: dict[str, PermitRow]) -> None:
         out = [(name, row) for name, row in rows.items() if row.state in OUT]
         nodes = [row.target for _, row in out if row.what == "drain"]
         marshals = [name for name, row in out if row.what == "restart"]
-        self.town.look("permits by the budgets", self.within(nodes) and len(marshals) <= 1,
-                       lambda: f"at {self.index}: nodes {nodes}, restarts {marshals} of {self.most}")
+        self.town.look(
+            "permits by the budgets",
+            self.within(nodes) and len(marshals) <= 1,
+            lambda: f"at {self.index}: nodes {nodes}, restarts {marshals} of {self.most}",
+        )
 
     def within(self, nodes: list[str]) -> bool:
         if len(set(nodes)) != len(nodes) or len(nodes) > self.most["all"]:
@@ -97,8 +108,11 @@
 
         An agent whose session ends never hears that its word was agreed: its node's row shows that.
         """
-        said = [(int(found[4]), found[1], found[2], int(found[3])) for line in self.town.lines
-                if (found := ACT.search(line.text))]
+        said = [
+            (int(found[4]), found[1], found[2], int(found[3]))
+            for line in self.town.lines
+            if (found := ACT.search(line.text))
+        ]
         said += [(place, node, "ready", life) for (node, life), place in self.back.items()]
         out: dict[str, int] = {}  # with the life in which it went
         for place, node, standing, life in sorted(said):
@@ -106,16 +120,24 @@
                 del out[node]
             elif standing != "ready":
                 out[node] = life
-            self.town.look("nodes out by the budgets", self.within(sorted(out)),
-                           lambda place=place, out=dict(out): f"at {place}: {out} are out of {self.most}; "
-                           f"{[one for one in sorted(said) if abs(one[0] - place) < 20]}")
+            self.town.look(
+                "nodes out by the budgets",
+                self.within(sorted(out)),
+                lambda place=place, out=dict(out): (
+                    f"at {place}: {out} are out of {self.most}; "
+                    f"{[one for one in sorted(said) if abs(one[0] - place) < 20]}"
+                ),
+            )
             if standing == "draining":
                 self.town.count("drains played")
-                mine = [row for row in self.seen.values()
-                        if (row.what, row.target, row.life) == ("drain", node, life)]
-                self.town.look("no node goes without a permit", any(0 < row.fence < place for row in mine),
-                               lambda place=place, node=node, life=life, mine=mine:
-                               f"{node}, life {life}, drains at place {place}: {mine}")
+                mine = [row for row in self.seen.values() if (row.what, row.target, row.life) == ("drain", node, life)]
+                self.town.look(
+                    "no node goes without a permit",
+                    any(0 < row.fence < place for row in mine),
+                    lambda place=place, node=node, life=life, mine=mine: (
+                        f"{node}, life {life}, drains at place {place}: {mine}"
+                    ),
+                )
 
     def told(self) -> None:
         """Nothing new goes to a node from GRACE_S after its marshal was told until it is told otherwise."""
--- a/brookreach/drills/parties.py
+++ b/brookreach/drills/parties.py
@@ -33,9 +33,7 @@
 class KeeperParty(Party):
     keeps = True
 
-    def __init__(
-        self, world: World, name: str, timing: Timing, seats: tuple[str, ...], pieces: Sequence[Piece]
-    ):
+    def __init__(self, world: World, name: str, timing: Timing, seats: tuple[str, ...], pieces: Sequence[Piece]):
         super().__init__(world, name, timing)
         self.pieces, self.seats, self.disk = pieces, seats, MemoryDisk(seats, name)
         self.took = random.Random(f"{world.seed} disk {name}")
@@ -88,9 +86,7 @@
         match what:
             case "die" if load == self.life:
                 self.die("killed after a promise")
-                self.world.at(
-                    self.world.now + 80.0, "", "heal", Fault(0, "kill", (self.name,))
-                )  # if none else does
+                self.world.at(self.world.now + 80.0, "", "heal", Fault(0, "kill", (self.name,)))  # if none else does
             case "closed" if self.world.hung_up(self.name, *load):
                 self.keeper.gone(self.now(), load[0])
                 self.flush()
--- a/brookreach/drills/pieces_processes.py
+++ b/brookreach/drills/pieces_processes.py
@@ -53,10 +53,16 @@
 class Operator:
     """A client in the drill's process, behind the relay like all others. `all`: orders with answers."""
 
-    def __init__(self, name: str, group: Group, tables: Mapping[str, type[Row]], seed: int,
-                 changed: Callable[[Changed], None] | None = None, kind: words.Kind = "operator"):
-        ports = {target: ("127.0.0.1", port) for (source, target), port in group.relayed.items()
-                 if source == name}
+    def __init__(
+        self,
+        name: str,
+        group: Group,
+        tables: Mapping[str, type[Row]],
+        seed: int,
+        changed: Callable[[Changed], None] | None = None,
+        kind: words.Kind = "operator",
+    ):
+        ports = {target: ("127.0.0.1", port) for (source, target), port in group.relayed.items() if source == name}
         self.name, self.changed = name, changed
         self.client = Client(name, kind, tuple(ports), TIMES, random.Random(f"{seed} {name}"), tables)
         self.dial = Dial(self.client, "drill", group.key, ports, self.hear)
@@ -101,8 +107,7 @@
 class Town:
     """One seed's keepers and whoever is added; `callers` are all who speak to keepers."""
 
-    def __init__(self, seed: int, folder: Path, children: Children, report: Report, case: str,
-                 callers: Sequence[str]):
+    def __init__(self, seed: int, folder: Path, children: Children, report: Report, case: str, callers: Sequence[str]):
         self.seed, self.report, self.children, self.case = seed, report, children, case
         self.chance = random.Random(f"{seed} {case}")
         self.folder, self.ports = folder, Ports(*PORTS[case])
@@ -215,8 +220,9 @@
 
     # --- rules of all drills here ---
 
-    async def until(self, true: Callable[[], object], rule: str, within_s: float = GOES_ON_S,
-                    why: Callable[[], str] = lambda: "") -> bool:
+    async def until(
+        self, true: Callable[[], object], rule: str, within_s: float = GOES_ON_S, why: Callable[[], str] = lambda: ""
+    ) -> bool:
         self.report.looked(rule)
         with anyio.move_on_after(within_s):
             while not true():
@@ -233,11 +239,17 @@
         """
         for name in [*(one for one in self.children.all if one not in KEEPERS), *KEEPERS]:
             child = self.children.all[name]
-            self.look("no process gone", child.up and not child.ends,
-                      lambda name=name, child=child: f"{name} ended itself with {child.ends}: {child.told()}")
+            self.look(
+                "no process gone",
+                child.up and not child.ends,
+                lambda name=name, child=child: f"{name} ended itself with {child.ends}: {child.told()}",
+            )
             code = await anyio.to_thread.run_sync(child.end)
-            self.look("SIGTERM ends it with 0", code == 0 or (name in agents and code == -signal.SIGTERM),
-                      lambda name=name, child=child, code=code: f"{name} ends with {code}: {child.told()}")
+            self.look(
+                "SIGTERM ends it with 0",
+                code == 0 or (name in agents and code == -signal.SIGTERM),
+                lambda name=name, child=child, code=code: f"{name} ends with {code}: {child.told()}",
+            )
         self.tail()
         for line in self.lines:
             if any(one in line.text for one in FAULTS):
@@ -247,4 +259,5 @@
             for what, count in way.seen.items():
                 self.count(f"relay: {what}", count)
         self.report.figures["kept from looking, s"] = round(
-            max(self.late_s, self.report.figures.get("kept from looking, s", 0.0)), 3)
+            max(self.late_s, self.report.figures.get("kept from looking, s", 0.0)), 3
+        )
--- a/brookreach/drills/power.py
+++ b/brookreach/drills/power.py
@@ -105,8 +105,7 @@
         one = right.curve(view, min(at_ms, view.get(CURRENT, "all").until_ms - 1))
         return Again(one.version, one.spans, one.worst)
 
-    return SimpleNamespace(**{**vars(right), "curve": still,
-                              "in_force": lambda view, at_ms: view.get(CURRENT, "all")})
+    return SimpleNamespace(**{**vars(right), "curve": still, "in_force": lambda view, at_ms: view.get(CURRENT, "all")})
 
 
 def _restless(right: Any) -> Any:
@@ -131,8 +130,9 @@
 }
 
 
-def run(seed: int, seeds: int, plant: str = "", progress: Callable[[int, int], None] | None = None,
-        processes: int = 0) -> Report:
+def run(
+    seed: int, seeds: int, plant: str = "", progress: Callable[[int, int], None] | None = None, processes: int = 0
+) -> Report:
     """So many worlds, one a seed; with a planted defect it ends at the first that shows it.
 
     With `processes` nodes: between processes of the program.
--- a/brookreach/drills/power_bound.py
+++ b/brookreach/drills/power_bound.py
@@ -70,9 +70,14 @@
         most.append(limits[some[0]])
     work = [job.work_ms / SLOT_MS for job in case.jobs]
     found = optimize.linprog(
-        costs, A_ub=sparse.csr_matrix((amounts, (rows, columns)), (len(most), len(costs))), b_ub=most,
+        costs,
+        A_ub=sparse.csr_matrix((amounts, (rows, columns)), (len(most), len(costs))),
+        b_ub=most,
         A_eq=sparse.csr_matrix(([1.0] * len(owner), (owner, range(len(owner)))), (len(work), len(costs))),
-        b_eq=work, bounds=[(0.0, limit) for limit in limits], method="highs")
+        b_eq=work,
+        bounds=[(0.0, limit) for limit in limits],
+        method="highs",
+    )
     return round(found.fun * SLOT_MS) if found.status == 0 else None
 
 
@@ -98,8 +103,12 @@
     if bound is None:
         return None
     told = {"bound": Figure(bound, 0, 0, 0), "no flexible work": figure(case, [], seed)}
-    for name, decide in (("blind", by_power), ("greedy", greedy), ("chosen", by_power),
-                         ("chosen, room foreseen", foreseen)):
+    for name, decide in (
+        ("blind", by_power),
+        ("greedy", greedy),
+        ("chosen", by_power),
+        ("chosen, room foreseen", foreseen),
+    ):
         world = World(case, decide)
         if name.startswith("chosen"):
             world.send(START, 1, 60, case.grams)
@@ -121,15 +130,31 @@
     for name in ("no flexible work", "blind", "greedy", "chosen", "chosen, room foreseen", "bound"):
         figures = [told[name] for told in some]
         grams = sum(one.grams for one in figures)
-        ways[name] = {"grams": grams // HOUR, "missed": sum(one.missed for one in figures),
-                      "moves": sum(one.moves for one in figures),
-                      "pushed, %": sum(one.pushed for one in figures) / 1000 / max(1, len(some)),
-                      "of the bound's saving": round((blind - grams) / max(1, blind - least_of_all), 4)}
-    shares = sorted((told["blind"].grams - told["chosen"].grams)
-                    / max(1, told["blind"].grams - told["bound"].grams) for told in some)
+        ways[name] = {
+            "grams": grams // HOUR,
+            "missed": sum(one.missed for one in figures),
+            "moves": sum(one.moves for one in figures),
+            "pushed, %": sum(one.pushed for one in figures) / 1000 / max(1, len(some)),
+            "of the bound's saving": round((blind - grams) / max(1, blind - least_of_all), 4),
+        }
+    shares = sorted(
+        (told["blind"].grams - told["chosen"].grams) / max(1, told["blind"].grams - told["bound"].grams)
+        for told in some
+    )
     worst = [round(shares[at], 3) for at in (0, len(shares) // 2, -1)] if shares else []
-    print(json.dumps({"worlds": len(some), "left out": seeds - len(some), "percent": percent, "jobs": jobs,
-                      "ways": ways, "by world: worst, median, best": worst}, indent=1))
+    print(
+        json.dumps(
+            {
+                "worlds": len(some),
+                "left out": seeds - len(some),
+                "percent": percent,
+                "jobs": jobs,
+                "ways": ways,
+                "by world: worst, median, best": worst,
+            },
+            indent=1,
+        )
+    )
 
 
 if __name__ == "__main__":
--- a/brookreach/drills/power_model.py
+++ b/brookreach/drills/power_model.py
@@ -82,25 +82,44 @@
     for zone in zones:
         base, sun, wind = chance.randint(150, 450), chance.randint(0, 120), chance.randint(0, 80)
         peak, length = chance.uniform(10, 15), chance.uniform(15, 60)
-        grams[zone] = tuple(max(5, round(
-            base - sun * max(0.0, math.cos((hour % 24 - peak) * math.pi / 9)) * 1.2
-            + wind * math.sin(hour * 2 * math.pi / length + base) + chance.gauss(0, 12)))
-            for hour in range(hours))
+        grams[zone] = tuple(
+            max(
+                5,
+                round(
+                    base
+                    - sun * max(0.0, math.cos((hour % 24 - peak) * math.pi / 9)) * 1.2
+                    + wind * math.sin(hour * 2 * math.pi / length + base)
+                    + chance.gauss(0, 12)
+                ),
+            )
+            for hour in range(hours)
+        )
     some = []
     for nth in range(jobs):
         work = chance.randint(4, 40) * SLOT_MS // 2
         arrives = START + chance.randrange(24 * HOUR)
         deadline = arrives + round(work * chance.uniform(1.3, 4.0)) + HOUR
         may = sorted(chance.sample(zones, chance.randint(2, len(zones)))) if chance.random() < 0.4 else []
-        some.append(Job(f"gang:{nth:03d}", chance.randint(2, 12), arrives, work, deadline, tuple(may),
-                        chance.randint(60, 360) * 1000, chance.choice((HOUR, 2 * HOUR))))
+        some.append(
+            Job(
+                f"gang:{nth:03d}",
+                chance.randint(2, 12),
+                arrives,
+                work,
+                deadline,
+                tuple(may),
+                chance.randint(60, 360) * 1000,
+                chance.choice((HOUR, 2 * HOUR)),
+            )
+        )
     whole = sum(job.room for job in some)
     busy = sum(job.room * job.work_ms for job in some) // (24 * HOUR)  # were it spread evenly
     capacity = 2 * whole if ample else busy * percent // 100 // len(zones) + 55
     level = capacity // 4 if ample else 30
-    other = {zone: tuple(
-        round(level * (1 + 0.3 * math.sin((slot / 4 - 8) * math.pi / 12))) for slot in range(hours * 4))
-        for zone in zones}
+    other = {
+        zone: tuple(round(level * (1 + 0.3 * math.sin((slot / 4 - 8) * math.pi / 12))) for slot in range(hours * 4))
+        for zone in zones
+    }
     return Case(hours, grams, capacity, other, tuple(sorted(some, key=lambda job: job.name)))
 
 
@@ -112,10 +131,15 @@
         time = datetime.fromtimestamp(START // 1000, UTC) + timedelta(hours=hour)
         return time.astimezone(local).isoformat()
 
-    return {"schedule": {"version": version, "unit": schedule.UNIT},
-            "zone": [{"name": zone, "calls": 50} for zone in grams],
-            "row": [{"zone": zone, "from": at(hour), "to": at(hour + 1), "grams": amount}
-                    for zone, some in grams.items() for hour, amount in enumerate(some)]}
+    return {
+        "schedule": {"version": version, "unit": schedule.UNIT},
+        "zone": [{"name": zone, "calls": 50} for zone in grams],
+        "row": [
+            {"zone": zone, "from": at(hour), "to": at(hour + 1), "grams": amount}
+            for zone, some in grams.items()
+            for hour, amount in enumerate(some)
+        ],
+    }
 
 
 @dataclass
@@ -156,8 +180,9 @@
             return False
         return True
 
-    def send(self, at_ms: int, version: int, offset_min: int, grams: Mapping[str, tuple[int, ...]],
-             most: int | None = None) -> None:
+    def send(
+        self, at_ms: int, version: int, offset_min: int, grams: Mapping[str, tuple[int, ...]], most: int | None = None
+    ) -> None:
         """An operator sends a version; `most`: only that many of its records."""
         told = schedule.schedule(Path("drawn.toml"), values(self.case, version, offset_min, grams))
         for order in list(orders.parts(told.version, told.zones, told.spans))[:most]:
@@ -209,8 +234,17 @@
 def by_power(world: World, one: Going, at: int, later: choose.Later | None = None) -> tuple[str, bool]:
     """As `choose` says; with no schedule sent this is blind to power."""
     job, run = one.job, one.run
-    asked = choose.Flexible(job.name, job.room, one.left_ms, job.deadline_ms, job.zones, job.move_ms,
-                            job.stay_ms, run.zone if run else "", run.from_ms if run else 0)
+    asked = choose.Flexible(
+        job.name,
+        job.room,
+        one.left_ms,
+        job.deadline_ms,
+        job.zones,
+        job.move_ms,
+        job.stay_ms,
+        run.zone if run else "",
+        run.from_ms if run else 0,
+    )
     told = choose.choose(world.view, at, asked, world.case.free(at // SLOT_MS), later)
     world.view.take(reserve.take(world.view, at, job.name, job.room, told.spans))
     return told.zone, bool(told.zone) and told.from_ms <= at
--- a/brookreach/drills/power_processes.py
+++ b/brookreach/drills/power_processes.py
@@ -38,8 +38,7 @@
 
 
 class Play(gangs_processes.Play):
-    def __init__(self, seed: int, nodes: int, folder: Path, children: Children, report: Report,
-                 kinds: Sequence[str]):
+    def __init__(self, seed: int, nodes: int, folder: Path, children: Children, report: Report, kinds: Sequence[str]):
         super().__init__(seed, nodes, folder, children, report, kinds, "power", ("bob", "eye", *MARSHALS))
         town = self.town
         self.eye = Operator("eye", town.group, TABLES, seed)
@@ -92,13 +91,19 @@
         self.last += 1
         slot = int(time.time() * 1000.0) // SLOT_MS - 1
         spans: Spans = tuple(
-            (zone, (slot + at) * SLOT_MS, (slot + at + 1) * SLOT_MS,
-             100 + 300 * ((self.last + nth) % 2) + 50 * (at > SLOTS // 2))
-            for nth, (zone, _) in enumerate(ZONES) for at in range(SLOTS))
+            (
+                zone,
+                (slot + at) * SLOT_MS,
+                (slot + at + 1) * SLOT_MS,
+                100 + 300 * ((self.last + nth) % 2) + 50 * (at > SLOTS // 2),
+            )
+            for nth, (zone, _) in enumerate(ZONES)
+            for at in range(SLOTS)
+        )
         seal = digest(self.last, ZONES, spans)
         parts: list[Part] = [orders.Begin(self.last, seal, ZONES, slot * SLOT_MS, (slot + SLOTS) * SLOT_MS)]
         for nth, at in enumerate(range(0, len(spans), PART)):
-            parts.append(orders.Rows(self.last, nth, spans[at:at + PART]))
+            parts.append(orders.Rows(self.last, nth, spans[at : at + PART]))
         self.watch.sent[self.last] = Sent(spans)
         return self.last, [*parts, orders.Commit(self.last, seal)]
 
@@ -111,8 +116,11 @@
                 break
             meanwhile = None
             await anyio.sleep(0.2)
-        await self.town.until(lambda: self.watch.version == version, "a version comes into force",
-                              why=lambda: f"{version}; {self.watch.version} is, {self.ann.all[-3:]}")
+        await self.town.until(
+            lambda: self.watch.version == version,
+            "a version comes into force",
+            why=lambda: f"{version}; {self.watch.version} is, {self.ann.all[-3:]}",
+        )
 
     async def _sent(self, version: int, parts: list[Part], meanwhile: Meanwhile | None) -> bool:
         for nth, part in enumerate(parts):
@@ -137,8 +145,7 @@
     async def early(self, version: int, parts: list[Part]) -> None:
         """Closed before it is whole: refused, and what was in force stands. `watch` would see otherwise."""
         answer = await self.ann.ask("power", parts[-1])
-        self.town.look("half a version is not agreed", answer is None or not answer.ok,
-                       lambda: f"{version}: {answer}")
+        self.town.look("half a version is not agreed", answer is None or not answer.ok, lambda: f"{version}: {answer}")
 
     # --- what breaks ---
 
@@ -162,12 +169,15 @@
         await town.link([*town.ways(["ann"], KEEPERS), *town.ways(KEEPERS, ["ann"])], LEASE_S * 2.5, cut=True)
         await town.until(lambda: self.ann.client.joined, "who was cut off comes back")
         if self.ann.client.session != session:
-            await town.until(lambda: self.eye.client.mirror.get(DRAFTS, version_key(version)) is None,
-                             "half a version goes with its session")
+            await town.until(
+                lambda: self.eye.client.mirror.get(DRAFTS, version_key(version)) is None,
+                "half a version goes with its session",
+            )
         await self.send_all()
 
     async def closed_as_leader_falls(self) -> None:
         """A gang runs by the one before; the new one is whole but for the close when the leader is killed."""
+
         async def falls(nth: int) -> None:
             if nth == 6:
                 await self.town.down([self.town.leader()], 0.3)
@@ -190,16 +200,21 @@
         for part in (parts[0], parts[-2], parts[-1]):
             answer = await ask(part)
             if self.eye.client.mirror.get(DRAFTS, version_key(version)) is not None:
-                self.town.look("only its sender goes on with a version", answer is None or not answer.ok,
-                               lambda part=part, answer=answer:
-                               f"{type(part).__name__} of {version}: {answer}")
+                self.town.look(
+                    "only its sender goes on with a version",
+                    answer is None or not answer.ok,
+                    lambda part=part, answer=answer: f"{type(part).__name__} of {version}: {answer}",
+                )
         await self.send_all()
 
     # --- the end ---
 
     def found(self) -> None:
-        self.town.look("no acknowledged version lost", self.watch.version >= self.agreed,
-                       lambda: f"{self.agreed} was agreed, {self.watch.version} is in force")
+        self.town.look(
+            "no acknowledged version lost",
+            self.watch.version >= self.agreed,
+            lambda: f"{self.agreed} was agreed, {self.watch.version} is in force",
+        )
         held = [name for name, _ in self.eye.client.mirror.rows(HOLDS) if name.startswith("gang:")]
         self.town.look("what ended holds no room", not held, lambda: f"{held}")
         self.town.count("versions sent", self.last)
@@ -215,12 +230,16 @@
 }
 
 
-def run(seed: int, seeds: int, processes: int, progress: Callable[[int, int], None] | None,
-        kinds: Sequence[str] = ()) -> Report:
+def run(
+    seed: int, seeds: int, processes: int, progress: Callable[[int, int], None] | None, kinds: Sequence[str] = ()
+) -> Report:
     """`processes` nodes; `kinds`: breaks in that order, else all of them in one by the seed."""
     if not 3 <= processes <= gangs_processes.MOST_NODES:
         raise ValueError(f"--processes {processes}: 3 to {gangs_processes.MOST_NODES} nodes are allowed")
     return played(
-        "power", range(seed, seed + seeds), processes + len(KEEPERS), progress,
+        "power",
+        range(seed, seed + seeds),
+        processes + len(KEEPERS),
+        progress,
         lambda one, folder, children, report: Play(one, processes, folder, children, report, kinds),
     )
--- a/brookreach/drills/power_rules.py
+++ b/brookreach/drills/power_rules.py
@@ -48,8 +48,12 @@
         for at, text in broken(play):
             say(rule, at, text)
     if play.ample:
-        for rule, broken in (("deadline", _deadline), ("least stay", _stay),
-                             ("neutral without a schedule", _neutral), ("worth it", _worth)):
+        for rule, broken in (
+            ("deadline", _deadline),
+            ("least stay", _stay),
+            ("neutral without a schedule", _neutral),
+            ("worth it", _worth),
+        ):
             report.looked(rule)
             for at, text in broken(play):
                 say(rule, at, text)
--- a/brookreach/drills/power_watch.py
+++ b/brookreach/drills/power_watch.py
@@ -32,15 +32,15 @@
         self.sent: dict[int, Sent] = {}
 
     def changed(self, event: Changed) -> None:
-        self.town.look("a mirror never goes back", event.index >= self.index,
-                       lambda: f"{event.index} after {self.index}")
+        self.town.look(
+            "a mirror never goes back", event.index >= self.index, lambda: f"{event.index} after {self.index}"
+        )
         self.index = event.index
         row: CurrentRow | None = self.mirror.get(CURRENT, "all")
         if row is not None:
             self.in_force(row)
         else:
-            self.town.look("what is in force stays agreed", not self.version,
-                           lambda: f"{self.version} is gone")
+            self.town.look("what is in force stays agreed", not self.version, lambda: f"{self.version} is gone")
         self.calls()
 
     def in_force(self, row: CurrentRow) -> None:
@@ -48,10 +48,14 @@
         town.look("only what was closed is in force", sent is not None and sent.closed, lambda: f"{row}")
         rows = self.mirror.rows(SCHEDULES, version_key(row.version) + "/")
         stands = sorted((key.split("/")[1], one.from_ms, one.to_ms, one.grams) for key, one in rows)
-        town.look("what is in force is whole", sent is not None and stands == sorted(sent.spans),
-                  lambda: f"version {row.version} at {self.index}: {len(stands)} rows, not as sent")
+        town.look(
+            "what is in force is whole",
+            sent is not None and stands == sorted(sent.spans),
+            lambda: f"version {row.version} at {self.index}: {len(stands)} rows, not as sent",
+        )
         grows = (row.version, row.fence) == (self.version, self.fence) or (
-            row.version > self.version and row.fence > self.fence)
+            row.version > self.version and row.fence > self.fence
+        )
         town.look("versions and fences grow", grows, lambda: f"{self.version}, {self.fence}, then {row}")
         self.version, self.fence = row.version, row.fence
 
@@ -65,6 +69,8 @@
                 held[zone, slot] += row.room
         for (zone, slot), calls in sorted(held.items()):
             offer = self.mirror.get(OFFERS, zone)
-            self.town.look("steered calls within what is offered", offer is not None and calls <= offer.calls,
-                           lambda zone=zone, slot=slot, calls=calls, offer=offer:
-                           f"zone {zone}, slot {slot}: {calls} of {offer}")
+            self.town.look(
+                "steered calls within what is offered",
+                offer is not None and calls <= offer.calls,
+                lambda zone=zone, slot=slot, calls=calls, offer=offer: f"zone {zone}, slot {slot}: {calls} of {offer}",
+            )
--- a/brookreach/drills/processes.py
+++ b/brookreach/drills/processes.py
@@ -47,10 +47,7 @@
         self.folder, self.keepers = folder, tuple(keepers)
         self.listens = {name: ports.take() for name in keepers}
         self.relayed = {
-            (source, target): ports.take()
-            for source in (*keepers, *callers)
-            for target in keepers
-            if source != target
+            (source, target): ports.take() for source in (*keepers, *callers) for target in keepers if source != target
         }
         folder.mkdir(parents=True, exist_ok=True)
         key = folder / "group.key"
@@ -59,10 +56,7 @@
         self.key = key.read_bytes()
 
     def relay_ports(self) -> list[Port]:
-        return [
-            Port(source, target, port, self.listens[target])
-            for (source, target), port in self.relayed.items()
-        ]
+        return [Port(source, target, port, self.listens[target]) for (source, target), port in self.relayed.items()]
 
     def file(self, me: str, timing: Sequence[str] = ()) -> Path:
         """The group's file as `me` sees it: itself where it listens, the others behind the relay."""
@@ -210,8 +204,7 @@
     progress: Callable[[int, int], None] | None,
     made: Callable[[int, Path, Children, Report], Any],
 ) -> Report:
-    """A drill between processes: for each seed what `made` gives runs in a folder, with children of its own.
-    """
+    """A drill between processes: for each seed what `made` gives runs in a folder, with children of its own."""
     report = Report(name, seeds.start, len(seeds))
     report.figures["processes"] = processes
     for one in report.play(progress):
--- a/brookreach/drills/relay.py
+++ b/brookreach/drills/relay.py
@@ -99,9 +99,7 @@
 class Pump:
     """One direction of one connection: what has been read waits here until it is due."""
 
-    def __init__(
-        self, source: anyio.abc.ByteStream, target: anyio.abc.ByteStream, way: Way, chance: random.Random
-    ):
+    def __init__(self, source: anyio.abc.ByteStream, target: anyio.abc.ByteStream, way: Way, chance: random.Random):
         self.source, self.target, self.way, self.chance = source, target, way, chance
         self.due: list[tuple[float, int, bytes]] = []
         self.count = 0
--- a/brookreach/drills/rules.py
+++ b/brookreach/drills/rules.py
@@ -60,9 +60,7 @@
         for one in halt:
             self.halted = one.octets is not None
 
-    def change(
-        self, now: float, index: int, table: str, key: str, octets: bytes | None, before: bytes | None
-    ) -> None:
+    def change(self, now: float, index: int, table: str, key: str, octets: bytes | None, before: bytes | None) -> None:
         if table == outages.PERMITS:
             self.look("halt obeyed")
             was, new = row(outages.PermitRow, before), row(outages.PermitRow, octets)
@@ -72,6 +70,4 @@
             self.look("halt obeyed")
             was, new = row(outages.ReleaseRow, before), row(outages.ReleaseRow, octets)
             if new is not None and new.stage > (was.stage if was is not None else 0):
-                self.say(
-                    "halt obeyed", now, f"release {key} opens stage {new.stage} at {index}, under a halt"
-                )
+                self.say("halt obeyed", now, f"release {key} opens stage {new.stage} at {index}, under a halt")
--- a/brookreach/drills/shape.py
+++ b/brookreach/drills/shape.py
@@ -32,8 +32,12 @@
             return (type(one).__name__, *(walk(item) for item in one))
         held = getattr(one, "__dict__", None)
         if held is None:
-            held = {name: getattr(one, name) for kind in type(one).__mro__
-                    for name in getattr(kind, "__slots__", ()) if hasattr(one, name)}
+            held = {
+                name: getattr(one, name)
+                for kind in type(one).__mro__
+                for name in getattr(kind, "__slots__", ())
+                if hasattr(one, name)
+            }
         if callable(one) or isinstance(one, type):
             return getattr(one, "__qualname__", type(one).__name__)
         return (type(one).__name__, *((name, walk(value)) for name, value in held.items()))
--- a/brookreach/drills/stand.py
+++ b/brookreach/drills/stand.py
@@ -19,8 +19,11 @@
 from brookreach.net.result import INSERTED, SELECTED
 from brookreach.net.stream import address
 
-ROW = [*pgwire.framed(b"T", b"\0\1data\0" + bytes(18)), *pgwire.framed(b"D", b"\0\1\0\0\0\2\x9f\3"),
-       *pgwire.framed(b"C", b"SELECT 1\0")]
+ROW = [
+    *pgwire.framed(b"T", b"\0\1data\0" + bytes(18)),
+    *pgwire.framed(b"D", b"\0\1\0\0\0\2\x9f\3"),
+    *pgwire.framed(b"C", b"SELECT 1\0"),
+]
 WORDS = [b"".join(pgwire.framed(b"C", words)) for words in (SELECTED, INSERTED)]
 Replies = Mapping[str, list[bytes | memoryview]]
 SERVED: Replies = {"row": [*ROW, pgwire.READY], "error": [pgwire.error(b"XX000", "no")]}
@@ -32,10 +35,10 @@
     """Bytes as a socket would have put them there."""
     while data:
         space = inbound.space()
-        part = data[:len(space)]
-        space[:len(part)] = part
+        part = data[: len(space)]
+        space[: len(part)] = part
         inbound.came(len(part))
-        data = data[len(part):]
+        data = data[len(part) :]
 
 
 class NodeStand:
@@ -67,7 +70,7 @@
                     text = bytes(message[1][:-1]).decode()
                     self.served += 1
                     self.heard.append(text)
-                    del self.heard[:-self.kept]
+                    del self.heard[: -self.kept]
                     word = self.always or (text.split("'")[1] if "'" in text else "")
                     if word == "reset":
                         return
@@ -130,7 +133,8 @@
         self.parties: dict[tuple[str, int], NodeStand | HttpStand] = {
             **{address(at): node for at, node in self.nodes.items()},
             address(told["discovery"]): self.discovery,
-            address(told["deployer"]["address"]): self.platform}
+            address(told["deployer"]["address"]): self.platform,
+        }
 
     async def listing(self, method: str, target: str, body: bytes) -> tuple[int, str, bool]:
         if "after=" not in target:
--- a/brookreach/drills/verdict.py
+++ b/brookreach/drills/verdict.py
@@ -83,9 +83,7 @@
     def pick(self, now: float, pick: ifc.Pick) -> None:
         entry, told = self.states.get(pick.node, (None, -math.inf))
         self.look("drains")
-        if entry is None or (
-            entry.state != ifc.NodeState.READY and now > told + self.start.guards.drain_grace_ms
-        ):
+        if entry is None or (entry.state != ifc.NodeState.READY and now > told + self.start.guards.drain_grace_ms):
             self.say("drains", now, f"RPC {pick.rpc} goes to node {pick.node}, which is not ready")
         self.look("effects")
         method, done = self.rpcs.get(pick.rpc, (0, True))
@@ -100,9 +98,7 @@
 
     def on_trial(self, build: int) -> bool:
         news = self.news
-        return (
-            news is None or build > news.build or (build == news.build and news.phase != ifc.Phase.RELEASED)
-        )
+        return news is None or build > news.build or (build == news.build and news.phase != ifc.Phase.RELEASED)
 
     def exposed(self, now: float, build: int) -> None:
         self.look("exposure")
@@ -117,9 +113,7 @@
         if now < self.cap_fell + self.start.guards.drain_grace_ms:
             return  # a lower cap binds once the grace has passed
         if count > self.start.exposure.free + cap * len(self.taken) + 1e-6:
-            self.say(
-                "exposure", now, f"{count} picks at build {build}, cap {cap:g} of {len(self.taken)} RPCs"
-            )
+            self.say("exposure", now, f"{count} picks at build {build}, cap {cap:g} of {len(self.taken)} RPCs")
 
 
 class Checked:
@@ -174,15 +168,9 @@
             seconds = 2.0 * judge.WARM_UP_MS / 1000.0
             target = max(100.0, flow * math.fsum(min(1.0, c) for c in facts.exposure.caps) * seconds)
             weight = (0.25 if judge.sees_few(facts) else 0.5) / (len(facts.methods) + 1)
-            wanted = (
-                math.log(target / facts.stated.false_alarm)
-                + math.log(facts.place.marshals)
-                - math.log(weight)
-            )
+            wanted = math.log(target / facts.stated.false_alarm) + math.log(facts.place.marshals) - math.log(weight)
             if abs(wanted - judged.threshold) > 1e-6:
-                self.say(
-                    "thresholds as stated", now, f"it stands at {judged.threshold:.3f}, stated {wanted:.3f}"
-                )
+                self.say("thresholds as stated", now, f"it stands at {judged.threshold:.3f}, stated {wanted:.3f}")
 
     def moved(
         self,
--- a/brookreach/drills/world.py
+++ b/brookreach/drills/world.py
@@ -109,9 +109,7 @@
             return self.trace(source, f"lost to {target}")
         parcel = Parcel(nth, source, octets, reader.life, connection)
         for _ in range(times):
-            took = chance.uniform(link.least_ms, link.most_ms) + (
-                link.late_ms * chance.random() if late else 0.0
-            )
+            took = chance.uniform(link.least_ms, link.most_ms) + (link.late_ms * chance.random() if late else 0.0)
             self.at(self.now + took + later_ms, target, "frame", parcel)
 
     def connection(self, source: str, target: str) -> int | None:
--- a/brookreach/drills/xds.py
+++ b/brookreach/drills/xds.py
@@ -55,9 +55,7 @@
         self.session = self.world.book.join(self.world.now, self.name, self.delta)
         assert self.session is not None
         for url in stream.ORDER:
-            initial = (
-                {name: version for name, (version, _) in self.held.get(url, {}).items()} if self.delta else {}
-            )
+            initial = {name: version for name, (version, _) in self.held.get(url, {}).items()} if self.delta else {}
             names = () if url in stream.WILD else tuple(self.names_of(url))
             if self.delta:
                 self.session.hear(Ask(url, subscribe=names, initial=initial))
@@ -66,11 +64,7 @@
         self.flush()
 
     def names_of(self, url: str) -> list[str]:
-        return (
-            [resources.ROUTES]
-            if url == RDS
-            else sorted({assign.EARLIER, *self.held.get(EDS, {}), *self.wanted})
-        )
+        return [resources.ROUTES] if url == RDS else sorted({assign.EARLIER, *self.held.get(EDS, {}), *self.wanted})
 
     @property
     def wanted(self) -> set[str]:
@@ -93,9 +87,7 @@
         if session is not self.session or self.mute:
             return
         if self.world.chance.random() < 0.02:
-            session.hear(
-                Ask(answer.kind, answer.nonce, names=self.asked(answer.kind), error="13 can't use it")
-            )
+            session.hear(Ask(answer.kind, answer.nonce, names=self.asked(answer.kind), error="13 can't use it"))
             return self.flush()
         held = self.held.setdefault(answer.kind, {})
         if not self.delta and answer.kind in stream.WILD:
@@ -132,9 +124,7 @@
         if self.route_cache[0] != version:
             table = {}
             for route in message(route_pb2.RouteConfiguration, payload).virtual_hosts[0].routes:
-                table[route.name] = [
-                    (one.name, one.weight.value) for one in route.route.weighted_clusters.clusters
-                ]
+                table[route.name] = [(one.name, one.weight.value) for one in route.route.weighted_clusters.clusters]
             self.route_cache = version, table
         parts = self.route_cache[1].get(method, [])
         drawn = self.world.chance.random() * sum(share for _, share in parts)
@@ -157,9 +147,7 @@
 class World:
     """The fleet, the server and its proxies on one virtual clock."""
 
-    def __init__(
-        self, seed: int, say: Say, look: Callable[[str], None], proxies: int = 6, span_ms: float = 40_000.0
-    ):
+    def __init__(self, seed: int, say: Say, look: Callable[[str], None], proxies: int = 6, span_ms: float = 40_000.0):
         self.chance, self.say, self.look, self.span = random.Random(seed), say, look, span_ms
         self.heap: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
         self.now, self.count, self.lives = 100_000.0, 0, 0
@@ -178,8 +166,7 @@
         for _ in range(8):
             self.add(1)
         self.proxies = [
-            StandIn(f"p{at}", self, at % 2 == 0, self.chance.choice((5.0, 20.0, 60.0)))
-            for at in range(proxies)
+            StandIn(f"p{at}", self, at % 2 == 0, self.chance.choice((5.0, 20.0, 60.0))) for at in range(proxies)
         ]
         self.refresh()
 
@@ -244,9 +231,7 @@
     def add(self, build: int) -> None:
         self.numbers += 1
         started = self.now if build > 1 else 0.0
-        self.stands(
-            ifc.NodeEntry(self.numbers, ifc.NodeState.READY, started, build, self.numbers % 2, 0, 0, 1.0)
-        )
+        self.stands(ifc.NodeEntry(self.numbers, ifc.NodeState.READY, started, build, self.numbers % 2, 0, 0, 1.0))
 
     def stands(self, entry: ifc.NodeEntry) -> None:
         self.states[entry.node] = entry, self.now
@@ -391,9 +376,7 @@
                     self.say("routes after their clusters", self.now, f"{proxy.name}: {sorted(named - told)}")
                 self.look("no repeats of what must not run twice")
                 if route.name == "immatricola" and route.route.retry_policy.retry_on:
-                    self.say(
-                        "no repeats of what must not run twice", self.now, "immatricola has a retry policy"
-                    )
+                    self.say("no repeats of what must not run twice", self.now, "immatricola has a retry policy")
 
 
 # --- planted defects ---
--- a/brookreach/facts.py
+++ b/brookreach/facts.py
@@ -12,12 +12,21 @@
 
 from brookreach import interface as ifc
 
-REPEATS = {"read_like": ifc.Repeat.IDEMPOTENT, "idempotency_key": ifc.Repeat.TOKENED,
-           "non_idempotent": ifc.Repeat.NON_IDEMPOTENT}
+REPEATS = {
+    "read_like": ifc.Repeat.IDEMPOTENT,
+    "idempotency_key": ifc.Repeat.TOKENED,
+    "non_idempotent": ifc.Repeat.NON_IDEMPOTENT,
+}
 GROUPS = {"all": ifc.Group.ALL, "zone": ifc.Group.ZONE, "cell": ifc.Group.CELL}
 GATES = {"any": ifc.Gate.ANY, "share": ifc.Gate.SHARE, "timer": ifc.Gate.CLOCK}
-LOADS = {"busy_reqs": ifc.Load.INFLIGHT, "pending": ifc.Load.QUEUED, "cpu_share": ifc.Load.CPU_SHARE,
-         "svc_ms": ifc.Load.SERVICE_MS, "served_ps": ifc.Load.RATE, "failed_ps": ifc.Load.ERROR_RATE}
+LOADS = {
+    "busy_reqs": ifc.Load.INFLIGHT,
+    "pending": ifc.Load.QUEUED,
+    "cpu_share": ifc.Load.CPU_SHARE,
+    "svc_ms": ifc.Load.SERVICE_MS,
+    "served_ps": ifc.Load.RATE,
+    "failed_ps": ifc.Load.ERROR_RATE,
+}
 LISTS_ON_REQUEST = {"push": False, "ask": True}
 CAPS_BY_METHOD = {"all": False, "class": True}
 IN_PLACE = {"beside": False, "in_place": True}
@@ -144,28 +153,61 @@
         seed=seed,
         place=_place(settings),
         methods=_methods(settings),
-        tenants=tuple(ifc.Tenant(one.text("name"), one.number("share"), one.number("allowancePerS"))
-                      for one in settings.objects("tenants")),
+        tenants=tuple(
+            ifc.Tenant(one.text("name"), one.number("share"), one.number("allowancePerS"))
+            for one in settings.objects("tenants")
+        ),
         over_share_utility=settings.number("overShareWorth"),
-        permits=ifc.Permits(allowed.flag("cancel"), allowed.flag("probes"), allowed.flag("secondCopies"),
-                            allowed.flag("peers"), allowed.flag("retryAfter"), allowed.ms("maxRetryAfterUs"),
-                            allowed.count("sendCap"), allowed.count("mostHeld"),
-                            settings.word("registryMode", LISTS_ON_REQUEST)),
-        guards=ifc.Guards(guards.ms("answerSlackUs"), guards.ms("askWithinUs"),
-                          guards.number("coldShare", 1.0), guards.ms("warmWithinUs"),
-                          guards.ms("drainGraceUs"), guards.number("fallMultiple"), guards.ms("tipAfterUs")),
+        permits=ifc.Permits(
+            allowed.flag("cancel"),
+            allowed.flag("probes"),
+            allowed.flag("secondCopies"),
+            allowed.flag("peers"),
+            allowed.flag("retryAfter"),
+            allowed.ms("maxRetryAfterUs"),
+            allowed.count("sendCap"),
+            allowed.count("mostHeld"),
+            settings.word("registryMode", LISTS_ON_REQUEST),
+        ),
+        guards=ifc.Guards(
+            guards.ms("answerSlackUs"),
+            guards.ms("askWithinUs"),
+            guards.number("coldShare", 1.0),
+            guards.ms("warmWithinUs"),
+            guards.ms("drainGraceUs"),
+            guards.number("fallMultiple"),
+            guards.ms("tipAfterUs"),
+        ),
         exposure=_exposure(family),
-        voting=ifc.Voting(family.word("gateMode", GATES), family.count("toAdvance"), family.count("toAbort"),
-                          family.count("holdVotes"), family.ms("ballotTtlUs"), family.ms("answerWaitUs"),
-                          family.number("voteAllowance"), family.ms("minDwellUs"), family.ms("movesAfterUs")),
-        rollout=ifc.Rollout(family.numbers("stageShare", 1.0), family.word("replaceMode", IN_PLACE),
-                            family.ms("newsPeriodUs"), family.ms("metricsPeriodUs"),
-                            family.number("sample", 1.0), family.number("complaintShare", 1.0),
-                            family.flag("warmKeys") if "warmKeys" in family.values else False),
-        prices=ifc.Prices(fees.number("crossZone"), fees.number("waste"), fees.number("probe"),
-                          fees.number("lateFail"), family.number("delayPrice"), family.number("blastPrice")),
-        reports=tuple(_meaning(field, LOADS, f"settings.report.fields[{at}]")
-                      for at, field in enumerate(fields)),
+        voting=ifc.Voting(
+            family.word("gateMode", GATES),
+            family.count("toAdvance"),
+            family.count("toAbort"),
+            family.count("holdVotes"),
+            family.ms("ballotTtlUs"),
+            family.ms("answerWaitUs"),
+            family.number("voteAllowance"),
+            family.ms("minDwellUs"),
+            family.ms("movesAfterUs"),
+        ),
+        rollout=ifc.Rollout(
+            family.numbers("stageShare", 1.0),
+            family.word("replaceMode", IN_PLACE),
+            family.ms("newsPeriodUs"),
+            family.ms("metricsPeriodUs"),
+            family.number("sample", 1.0),
+            family.number("complaintShare", 1.0),
+            family.flag("warmKeys") if "warmKeys" in family.values else False,
+        ),
+        prices=ifc.Prices(
+            fees.number("crossZone"),
+            fees.number("waste"),
+            fees.number("probe"),
+            fees.number("lateFail"),
+            family.number("delayPrice"),
+            family.number("blastPrice"),
+        ),
+        reports=tuple(_meaning(field, LOADS, f"settings.report.fields[{at}]") for at, field in enumerate(fields)),
         tick_ms=settings.ms("tickUs"),
     )
 
@@ -188,10 +230,20 @@
         if name in seen:
             raise FactsError(f"{told.path}.name is {_shown(name)}, as {seen[name]}.name is")
         seen[name] = told.path
-        methods.append(ifc.Method(
-            name, told.word("idempotency", REPEATS), told.word("dedupScope", GROUPS), told.ms("windowUs"),
-            told.ms("aimUs"), told.ms("hardLimitUs"), told.number("worth"), told.number("lateWorth"),
-            told.number("aimStretch") if "aimStretch" in told.values else 0.0, told.flag("stream")))
+        methods.append(
+            ifc.Method(
+                name,
+                told.word("idempotency", REPEATS),
+                told.word("dedupScope", GROUPS),
+                told.ms("windowUs"),
+                told.ms("aimUs"),
+                told.ms("hardLimitUs"),
+                told.number("worth"),
+                told.number("lateWorth"),
+                told.number("aimStretch") if "aimStretch" in told.values else 0.0,
+                told.flag("stream"),
+            )
+        )
     if not methods:
         raise settings.wrong("classes", "one class or more")
     return tuple(methods)
@@ -203,6 +255,11 @@
         raise family.wrong("stageShare", "one stage or more")
     if len(caps) != stages:
         raise family.wrong("exposureCaps", f"one cap for each of the {stages} stages of stageShare")
-    return ifc.Exposure(family.ms("countedOverUs"), family.number("uncounted"), caps,
-                        family.word("capScope", CAPS_BY_METHOD), family.count("guardedStages"),
-                        family.flag("forwardOnly"))
+    return ifc.Exposure(
+        family.ms("countedOverUs"),
+        family.number("uncounted"),
+        caps,
+        family.word("capScope", CAPS_BY_METHOD),
+        family.count("guardedStages"),
+        family.flag("forwardOnly"),
+    )
--- a/brookreach/fleet/asks.py
+++ b/brookreach/fleet/asks.py
@@ -114,5 +114,7 @@
         left = list(self._queue)
         self._queue.clear()
         self._wire, self._at = 1, None
-        return [Unknown(one.seq, why) if one.flying or one.doubtful
-                else Answered(one.seq, False, f"not asked: {why}", 0) for one in left]
+        return [
+            Unknown(one.seq, why) if one.flying or one.doubtful else Answered(one.seq, False, f"not asked: {why}", 0)
+            for one in left
+        ]
--- a/brookreach/fleet/client.py
+++ b/brookreach/fleet/client.py
@@ -26,9 +26,18 @@
 
 
 class Client:
-    def __init__(self, name: str, kind: words.Kind, keepers: Sequence[str], timing: Timing,
-                 chance: random.Random, tables: Mapping[str, type[Row]],
-                 watched: Collection[str] | None = None, version: int = 1, most_asks: int = MOST_ASKS):
+    def __init__(
+        self,
+        name: str,
+        kind: words.Kind,
+        keepers: Sequence[str],
+        timing: Timing,
+        chance: random.Random,
+        tables: Mapping[str, type[Row]],
+        watched: Collection[str] | None = None,
+        version: int = 1,
+        most_asks: int = MOST_ASKS,
+    ):
         self.name, self.kind, self.version = name, kind, version
         self.mirror = Mirror(tables, tables if watched is None else watched)
         self.refusals: Counter[str] = Counter()
--- a/brookreach/fleet/config.py
+++ b/brookreach/fleet/config.py
@@ -89,8 +89,11 @@
     told = checked(path, values, FleetFile)
     errors = _keepers(path, told) + _times(path, told.timing)
     seen = [(one.scope, one.kind) for one in told.budget]
-    errors += [f"{path}: budget[{at}]: {one[0]!r} stands twice for kind {one[1]!r}"
-               for at, one in enumerate(seen) if seen.index(one) != at]
+    errors += [
+        f"{path}: budget[{at}]: {one[0]!r} stands twice for kind {one[1]!r}"
+        for at, one in enumerate(seen)
+        if seen.index(one) != at
+    ]
     if errors:
         raise BadFile(errors)
     return told
@@ -100,8 +103,11 @@
     errors: list[str] = []
     for field in ("name", "listen", "disk"):
         stand = [getattr(one, field) for one in told.keeper]
-        errors += [f"{path}: keeper[{at}].{field}: {one!r} stands twice"
-                   for at, one in enumerate(stand) if stand.index(one) != at]
+        errors += [
+            f"{path}: keeper[{at}].{field}: {one!r} stands twice"
+            for at, one in enumerate(stand)
+            if stand.index(one) != at
+        ]
     for at, one in enumerate(told.keeper):
         try:
             host, _ = address(one.listen)
@@ -109,8 +115,10 @@
             errors.append(f"{path}: keeper[{at}].listen: {error}")
             continue
         if not told.group.beyond_loopback and not _loopback(host):
-            errors.append(f"{path}: keeper[{at}].listen: {one.listen!r} is not on loopback; "
-                          "group.beyond_loopback = true allows it")
+            errors.append(
+                f"{path}: keeper[{at}].listen: {one.listen!r} is not on loopback; "
+                "group.beyond_loopback = true allows it"
+            )
     return errors
 
 
@@ -125,11 +133,15 @@
     """What elections and leases need of each other to come out right."""
     errors = []
     if timing.election_ms < 3.0 * timing.beat_ms:
-        errors.append(f"{path}: timing.election_ms: {timing.election_ms}; 3 x beat_ms ({timing.beat_ms}) or "
-                      "more is allowed, or followers stand while their leader lives")
+        errors.append(
+            f"{path}: timing.election_ms: {timing.election_ms}; 3 x beat_ms ({timing.beat_ms}) or "
+            "more is allowed, or followers stand while their leader lives"
+        )
     if timing.lease_ms < 3.0 * timing.election_ms:
-        errors.append(f"{path}: timing.lease_ms: {timing.lease_ms}; 3 x election_ms ({timing.election_ms}) "
-                      "or more is allowed, or leases end at each election")
+        errors.append(
+            f"{path}: timing.lease_ms: {timing.lease_ms}; 3 x election_ms ({timing.election_ms}) "
+            "or more is allowed, or leases end at each election"
+        )
     return errors
 
 
@@ -146,8 +158,9 @@
     if mode & 0o077:
         raise BadFile([f"{file}: mode {mode:o}; others than its owner must have no access: chmod 600"])
     if len(octets) < LEAST_KEY:
-        raise BadFile([f"{file}: {len(octets)} bytes; {LEAST_KEY} random bytes or more are allowed: "
-                       "brookreach fleet key PATH"])
+        raise BadFile(
+            [f"{file}: {len(octets)} bytes; {LEAST_KEY} random bytes or more are allowed: brookreach fleet key PATH"]
+        )
     return octets
 
 
--- a/brookreach/fleet/core.py
+++ b/brookreach/fleet/core.py
@@ -138,8 +138,9 @@
         made = self.snapshot if self.cut_made else None
         self.promised = self.cut_made = False
         self.saving = True
-        return Save(self.term, self.vote, after, entries,
-                    (made.index, made.term, made.seats, made.octets) if made else None)
+        return Save(
+            self.term, self.vote, after, entries, (made.index, made.term, made.seats, made.octets) if made else None
+        )
 
     def fill(self, ready: Ready) -> None:
         ready.save = self.to_save()
--- a/brookreach/fleet/dial.py
+++ b/brookreach/fleet/dial.py
@@ -38,8 +38,15 @@
 class Dial:
     """`told` hears each event of the client."""
 
-    def __init__(self, client: Client, group: str, key: bytes, keepers: Mapping[str, tuple[str, int]],
-                 told: Callable[[Event], object], bounds: Bounds = BOUNDS):
+    def __init__(
+        self,
+        client: Client,
+        group: str,
+        key: bytes,
+        keepers: Mapping[str, tuple[str, int]],
+        told: Callable[[Event], object],
+        bounds: Bounds = BOUNDS,
+    ):
         self.client, self.group, self.key, self.keepers = client, group, key, keepers
         self.told, self.bounds = told, bounds
         self.inbox = Inbox(bounds.inbox)
--- a/brookreach/fleet/flights.py
+++ b/brookreach/fleet/flights.py
@@ -31,8 +31,9 @@
 _moves = msgspec.msgpack.Decoder(MoveSeat, strict=True)
 
 
-def sorry(say: Say, source: str, body: words.Body, why: words.Why, text: str, leader: str = "",
-          come_back_ms: float = 0.0) -> None:
+def sorry(
+    say: Say, source: str, body: words.Body, why: words.Why, text: str, leader: str = "", come_back_ms: float = 0.0
+) -> None:
     """To who asked that; a Leave has no answer."""
     if not isinstance(body, words.Leave):
         say(source, words.Sorry(getattr(body, "seq", 0), why, text[:MOST_TEXT], leader, int(come_back_ms)))
--- a/brookreach/fleet/keeper.py
+++ b/brookreach/fleet/keeper.py
@@ -29,8 +29,16 @@
     `held` names clients that have not yet taken what they were told; whoever runs it sets that.
     """
 
-    def __init__(self, me: str, pieces: Sequence[Piece], kept: Kept, group: str, timing: Timing,
-                 chance: random.Random, keepers: Sequence[str] = ()):
+    def __init__(
+        self,
+        me: str,
+        pieces: Sequence[Piece],
+        kept: Kept,
+        group: str,
+        timing: Timing,
+        chance: random.Random,
+        keepers: Sequence[str] = (),
+    ):
         self.me, self.group, self.timing, self.keepers = me, group, timing, tuple(keepers)
         self.raft = Raft(me, kept, self.keepers, timing, chance)
         self.machine = Machine(pieces)
--- a/brookreach/fleet/lead.py
+++ b/brookreach/fleet/lead.py
@@ -26,8 +26,16 @@
 class Lead:
     """`keepers` are those that the file names: a seat is for one of them."""
 
-    def __init__(self, now: float, raft: Raft, machine: Machine, watches: Watches, timing: Timing,
-                 keepers: Sequence[str], say: Say):
+    def __init__(
+        self,
+        now: float,
+        raft: Raft,
+        machine: Machine,
+        watches: Watches,
+        timing: Timing,
+        keepers: Sequence[str],
+        say: Say,
+    ):
         self.raft, self.machine, self.watches, self.timing = raft, machine, watches, timing
         self.keepers, self.say, self.sorry = keepers, say, partial(sorry, say)
         self.term = raft.term
@@ -125,8 +133,9 @@
 
     def over(self, leader: str) -> None:
         """The lead ended: who waits for anything here has to ask elsewhere."""
-        for source in dict.fromkeys([*self.here, *self.flights.sources(),
-                                     *(source for source, _ in self.in_round + self.asked)]):
+        for source in dict.fromkeys(
+            [*self.here, *self.flights.sources(), *(source for source, _ in self.in_round + self.asked)]
+        ):
             self.watches.gone(source)
             self.say(source, words.Sorry(0, "not leader", "no longer", leader, int(self.timing.beat_ms)))
 
@@ -172,8 +181,12 @@
 
     def _is_next(self, source: str, ask: words.Ask) -> bool:
         last = self.machine.view.get(ANSWERS, source)
-        return (last is not None and last.session == ask.session and ask.piece != SEATS
-                and ask.seq == last.seq + self.flights.of(ask.session) + 1)
+        return (
+            last is not None
+            and last.session == ask.session
+            and ask.piece != SEATS
+            and ask.seq == last.seq + self.flights.of(ask.session) + 1
+        )
 
     def _ask(self, now: float, source: str, ask: words.Ask) -> None:
         last = self.machine.view.get(ANSWERS, source)
--- a/brookreach/fleet/link.py
+++ b/brookreach/fleet/link.py
@@ -27,8 +27,16 @@
 class Link:
     """`left` gets the name of each client whose connection ended."""
 
-    def __init__(self, me: str, group: str, key: bytes, keepers: Mapping[str, tuple[str, int]], say: Say,
-                 chance: random.Random, bounds: Bounds = BOUNDS):
+    def __init__(
+        self,
+        me: str,
+        group: str,
+        key: bytes,
+        keepers: Mapping[str, tuple[str, int]],
+        say: Say,
+        chance: random.Random,
+        bounds: Bounds = BOUNDS,
+    ):
         self.me, self.group, self.key, self.keepers = me, group, key, keepers
         self.say, self.chance, self.bounds = say, chance, bounds
         self.inbox, self.left = Inbox(bounds.inbox), deque[str]()
--- a/brookreach/fleet/machine.py
+++ b/brookreach/fleet/machine.py
@@ -143,8 +143,10 @@
         if name not in self._versions:
             raise Halted(f"record {index} is of piece {name!r}; known are {', '.join(self._versions)}")
         if not 1 <= version <= self._versions[name]:
-            raise Halted(f"record {index} of piece {name} has version {version}; 1 to {self._versions[name]} "
-                         "are read here: another version of the program wrote it")
+            raise Halted(
+                f"record {index} of piece {name} has version {version}; 1 to {self._versions[name]} "
+                "are read here: another version of the program wrote it"
+            )
         try:
             return self._readers[name].decode(stamped.body)
         except (msgspec.DecodeError, RecursionError) as error:
@@ -213,8 +215,10 @@
             text = f"{sessions.MOST_SESSIONS} sessions, no more are allowed"
             return Applied(index, 0, 0, False, text, (), "busy")
         made = self._over(index, at_ms, client) if older else []
-        rows = (Put(SESSIONS, client, SessionRow(index, order.kind, at_ms)),
-                Put(ANSWERS, client, AnswerRow(index, 0, "", 0, True, "")))
+        rows = (
+            Put(SESSIONS, client, SessionRow(index, order.kind, at_ms)),
+            Put(ANSWERS, client, AnswerRow(index, 0, "", 0, True, "")),
+        )
         made += [self.view.made(one) for one in rows]
         self._holders.pop(older, None)
         self._holders[index] = client
--- a/brookreach/fleet/mirror.py
+++ b/brookreach/fleet/mirror.py
@@ -119,8 +119,12 @@
         if not message.last:
             return []
         held = {(one.table, one.key) for one in staged.rows}
-        gone = [words.Change(table, key, None) for table in self.watched for key, _ in self.rows(table)
-                if (table, key) not in held]
+        gone = [
+            words.Change(table, key, None)
+            for table in self.watched
+            for key, _ in self.rows(table)
+            if (table, key) not in held
+        ]
         gone += [words.Change(*place, None) for place in self.unread if place not in held]
         told = self._laid([*gone, *staged.rows], staged.total, staged.index, whole=True)
         self._staged, self._anew = None, False
@@ -159,8 +163,7 @@
         self._anew, self._staged = True, None
         return NotTaken(name, True)
 
-    def _laid(self, rows: list[words.Change], total: bytes | None, index: int,
-              whole: bool) -> list[Changed | KeptOut]:
+    def _laid(self, rows: list[words.Change], total: bytes | None, index: int, whole: bool) -> list[Changed | KeptOut]:
         """All of it, if then the sum is as told; else nothing has changed."""
         before = [self._tables.standing(one.table, one.key) for one in rows]
         unread, traces = dict(self.unread), dict(self._traces)
--- a/brookreach/fleet/piece.py
+++ b/brookreach/fleet/piece.py
@@ -101,8 +101,7 @@
         return self.over[table, key] if (table, key) in self.over else self.under.get(table, key)
 
     def rows(self, table: str, prefix: str = "") -> Iterable[tuple[str, Any]]:
-        laid = {key: row for (name, key), row in self.over.items()
-                if name == table and key.startswith(prefix)}
+        laid = {key: row for (name, key), row in self.over.items() if name == table and key.startswith(prefix)}
         if not laid:
             return self.under.rows(table, prefix)
         merged = dict(self.under.rows(table, prefix)) | laid
--- a/brookreach/fleet/raft.py
+++ b/brookreach/fleet/raft.py
@@ -30,7 +30,7 @@
 
     def __init__(self, me: str, kept: Kept, seats: tuple[str, ...], timing: Timing, chance: random.Random):
         if seats and me in kept.seats and kept.term == kept.index == 0 and set(seats) != set(kept.seats):
-            founded, named = ', '.join(sorted(kept.seats)), ', '.join(sorted(seats))
+            founded, named = ", ".join(sorted(kept.seats)), ", ".join(sorted(seats))
             raise DiskError(f"founded with {founded}; named are {named}")
         self.core = Core(me, kept, timing, chance)
         self.election = Election(self.core)
@@ -46,7 +46,7 @@
 
     @property
     def leader(self) -> str:
-        """"" where none is known."""
+        """ "" where none is known."""
         return self.core.leader
 
     @property
--- a/brookreach/fleet/serve.py
+++ b/brookreach/fleet/serve.py
@@ -59,8 +59,10 @@
         self.disk = disk_of(path, told, me)
         kept = self.disk.load()
         if not kept.seats:
-            raise DiskError(f"{self.disk.path}: holds no keeper: brookreach fleet found (a new group) or "
-                            "brookreach fleet join (a new keeper of a group), once")
+            raise DiskError(
+                f"{self.disk.path}: holds no keeper: brookreach fleet found (a new group) or "
+                "brookreach fleet join (a new keeper of a group), once"
+            )
         chance, addresses = random.Random(), told.addresses()
         self.keeper = Keeper(me, pieces, kept, told.group.name, told.times(), chance, tuple(addresses))
         self.link = Link(me, told.group.name, key, addresses, say, chance)
@@ -72,8 +74,10 @@
         try:
             async with anyio.create_task_group() as tasks:
                 await tasks.start(self.link.run)
-                self.say("keeper", f"{self.me} listens, {len(self.keeper.raft.seats)} seats, "
-                                   f"place {self.keeper.raft.committed}")
+                self.say(
+                    "keeper",
+                    f"{self.me} listens, {len(self.keeper.raft.seats)} seats, place {self.keeper.raft.committed}",
+                )
                 tasks.start_soon(self._signals, tasks.cancel_scope)
                 tasks.start_soon(self._turns, tasks.cancel_scope)
         except* OSError as group:
--- a/brookreach/fleet/snapshots.py
+++ b/brookreach/fleet/snapshots.py
@@ -43,8 +43,7 @@
 
 
 def packed(applied: int, at_ms: int, versions: Mapping[str, int], tables: Tables) -> bytes:
-    rows = tuple((name, tuple((one.key, one.octets or b"") for one in tables.changes(name)))
-                 for name in tables.types)
+    rows = tuple((name, tuple((one.key, one.octets or b"") for one in tables.changes(name))) for name in tables.types)
     body = _out.encode(Packed(applied, at_ms, tuple(sorted(versions.items())), rows))
     octets = _out.encode(Form(FORM, msgspec.Raw(body)))
     return MAGIC + hashlib.sha256(octets).digest() + octets
@@ -52,10 +51,10 @@
 
 def unpacked(octets: bytes, versions: Mapping[str, int], into: Tables) -> tuple[int, int]:
     """Fills `into`, which is empty; hands back `applied` and `at_ms`; raises Halted."""
-    if octets[:len(MAGIC)] != MAGIC:
-        raise Halted(f"no snapshot: begins with {octets[:len(MAGIC)]!r}, not {MAGIC!r}")
-    rest = octets[len(MAGIC) + SUM:]
-    if hashlib.sha256(rest).digest() != octets[len(MAGIC):len(MAGIC) + SUM]:
+    if octets[: len(MAGIC)] != MAGIC:
+        raise Halted(f"no snapshot: begins with {octets[: len(MAGIC)]!r}, not {MAGIC!r}")
+    rest = octets[len(MAGIC) + SUM :]
+    if hashlib.sha256(rest).digest() != octets[len(MAGIC) : len(MAGIC) + SUM]:
         raise Halted(f"a snapshot of {len(octets)} bytes is torn or was changed: its checksum differs")
     try:
         form = _forms.decode(rest)
@@ -68,8 +67,9 @@
         if name not in versions:
             raise Halted(f"a snapshot with piece {name!r}; known are {', '.join(sorted(versions))}")
         if version > versions[name]:
-            raise Halted(f"a snapshot with version {version} of piece {name}, of a later program; "
-                         f"up to {versions[name]} is read")
+            raise Halted(
+                f"a snapshot with version {version} of piece {name}, of a later program; up to {versions[name]} is read"
+            )
     for table, rows in found.tables:
         try:
             into.lay([into.read(table, key, row) for key, row in rows])
--- a/brookreach/fleet/tables.py
+++ b/brookreach/fleet/tables.py
@@ -47,8 +47,7 @@
 
     def __init__(self, types: Mapping[str, type[Row]]):
         self.types = dict(sorted(types.items()))
-        self._readers = {name: msgspec.msgpack.Decoder(type_, strict=True)
-                         for name, type_ in self.types.items()}
+        self._readers = {name: msgspec.msgpack.Decoder(type_, strict=True) for name, type_ in self.types.items()}
         self._held: dict[str, Any] = {name: SortedDict() for name in self.types}  # key: row, its change
         self._weights = dict.fromkeys(self.types, 0)
         self.sums = dict.fromkeys(self.types, 0)  # of the traces of each table's rows
--- a/brookreach/fleet/talk.py
+++ b/brookreach/fleet/talk.py
@@ -26,8 +26,15 @@
 
 
 class Talk:
-    def __init__(self, told: config.FleetFile, key: bytes, name: str, kind: words.Kind,
-                 tables: Mapping[str, type[Row]], wait_s: float):
+    def __init__(
+        self,
+        told: config.FleetFile,
+        key: bytes,
+        name: str,
+        kind: words.Kind,
+        tables: Mapping[str, type[Row]],
+        wait_s: float,
+    ):
         keepers = told.addresses()
         self.wait_s, self.keeper = wait_s, ""
         self.client = Client(name, kind, tuple(keepers), told.times(), random.Random(), tables)
@@ -84,8 +91,9 @@
 
 
 @contextlib.asynccontextmanager
-async def talk(path: Path, name: str, kind: words.Kind, tables: Mapping[str, type[Row]],
-               wait_s: float) -> AsyncIterator[Talk]:
+async def talk(
+    path: Path, name: str, kind: words.Kind, tables: Mapping[str, type[Row]], wait_s: float
+) -> AsyncIterator[Talk]:
     """Raises BadFile."""
     told = config.read(path)
     one = Talk(told, config.read_key(path, told), name, kind, tables, wait_s)
--- a/brookreach/fleet/words.py
+++ b/brookreach/fleet/words.py
@@ -31,8 +31,7 @@
         self.name = name
 
 
-REASONS = ("too long", "bad seal", "unreadable", "other version", "other group", "not for me",
-           "not its to say")
+REASONS = ("too long", "bad seal", "unreadable", "other version", "other group", "not for me", "not its to say")
 
 
 class Message(msgspec.Struct, frozen=True, forbid_unknown_fields=True, tag=True, array_like=True):
@@ -229,5 +228,25 @@
 ASKED = (Join, Ask, Read, Renew, Watch, Leave)
 TOLD = (Joined, Done, Rows, Renewed, Changes, Whole, Sorry)
 TABLE = KEEPERS + ASKED + TOLD
-Body = (AskVote | Vote | Append | Appended | Part | PartGot | HandOver | Join | Ask | Read | Renew | Watch
-        | Leave | Joined | Done | Rows | Renewed | Changes | Whole | Sorry)
+Body = (
+    AskVote
+    | Vote
+    | Append
+    | Appended
+    | Part
+    | PartGot
+    | HandOver
+    | Join
+    | Ask
+    | Read
+    | Renew
+    | Watch
+    | Leave
+    | Joined
+    | Done
+    | Rows
+    | Renewed
+    | Changes
+    | Whole
+    | Sorry
+)
--- a/brookreach/gangs/book.py
+++ b/brookreach/gangs/book.py
@@ -181,9 +181,7 @@
 
     def ran(self, member_ms: int, failures: int) -> None:
         sums = self.sums()
-        self.draft.put(
-            SUMS, "all", replace(sums, ran_ms=sums.ran_ms + member_ms, failures=sums.failures + failures)
-        )
+        self.draft.put(SUMS, "all", replace(sums, ran_ms=sums.ran_ms + member_ms, failures=sums.failures + failures))
 
     def end_permits(self, names: Iterable[str], reason: str) -> None:
         for permit in names:
--- a/brookreach/gangs/clean.py
+++ b/brookreach/gangs/clean.py
@@ -53,8 +53,13 @@
         return as_held(desk, name)
     left = steps.left_ms(row, desk.now) + row.load_ms + row.cost_ms
     job = Flexible(
-        who(name), row.members * row.room, left, row.deadline_ms or row.latest_ms + left, row.zones,
-        row.cost_ms + row.load_ms, left,
+        who(name),
+        row.members * row.room,
+        left,
+        row.deadline_ms or row.latest_ms + left,
+        row.zones,
+        row.cost_ms + row.load_ms,
+        left,
     )
     choice = choose(desk.draft, desk.now, job, free_by_zone(desk))
     desk.draft.take(take(desk.draft, desk.now, job.who, job.room, choice.spans))
--- a/brookreach/gangs/file.py
+++ b/brookreach/gangs/file.py
@@ -64,6 +64,14 @@
 def _order(one: GangPart) -> Submit:
     at = int(one.deadline.astimezone(UTC).timestamp()) * 1000 if one.deadline is not None else 0
     return Submit(
-        one.name, one.members, one.room, one.work_ms, one.cost_ms, one.load_ms, at, one.zones, one.builds,
+        one.name,
+        one.members,
+        one.room,
+        one.work_ms,
+        one.cost_ms,
+        one.load_ms,
+        at,
+        one.zones,
+        one.builds,
         one.flexible,
     )
--- a/brookreach/gangs/look.py
+++ b/brookreach/gangs/look.py
@@ -102,9 +102,7 @@
     if fallen:
         steps.go_back(desk, name, fallen, f"members {', '.join(map(str, fallen))} do not run")
         return
-    posts = [
-        Post(number, one.node, move.leaves_ms(desk.node(one.node), desk.now)) for number, one in members
-    ]
+    posts = [Post(number, one.node, move.leaves_ms(desk.node(one.node), desk.now)) for number, one in members]
     sight = _sight(desk, name, row)
     leaving = {post.node for post in posts if post.leave_ms}
     since = {permit: desk.permits.given_ms(desk.draft, permit) for permit in row.permits}
@@ -116,9 +114,7 @@
         until = sight.finish_ms + row.load_ms + sight.unsaved_ms  # at the latest: should it have to go back
         return desk.stock.fit(row, len(numbers), until, but=sorted(leaving)) is not None
 
-    step = move.decide(
-        sight, posts, given, room, lambda node: not move.needs_permit(desk.node(node), desk.now)
-    )
+    step = move.decide(sight, posts, given, room, lambda node: not move.needs_permit(desk.node(node), desk.now))
     _take(desk, name, row, sight, posts, step)
 
 
@@ -126,16 +122,20 @@
     # members begin a little after the record that says so, and the last checkpoint waits for them
     left = row.work_ms - row.kept_ms - steps.unsaved_ms(row, desk.now) + LAG_MS
     return Sight(
-        now=desk.now, left_ms=left, finish_ms=steps.ends_ms(desk, row, load=False) + LAG_MS,
-        unsaved_ms=steps.unsaved_ms(row, desk.now), asked_ms=row.asked_ms, cost_ms=row.cost_ms,
-        load_ms=row.load_ms, interval_ms=interval.interval_ms(row, desk.sums()), asked=bool(row.permits),
+        now=desk.now,
+        left_ms=left,
+        finish_ms=steps.ends_ms(desk, row, load=False) + LAG_MS,
+        unsaved_ms=steps.unsaved_ms(row, desk.now),
+        asked_ms=row.asked_ms,
+        cost_ms=row.cost_ms,
+        load_ms=row.load_ms,
+        interval_ms=interval.interval_ms(row, desk.sums()),
+        asked=bool(row.permits),
         gang=name,
     )
 
 
-def _take(
-    desk: Desk, name: str, row: GangRow, sight: Sight, posts: list[Post], step: Step
-) -> None:
+def _take(desk: Desk, name: str, row: GangRow, sight: Sight, posts: list[Post], step: Step) -> None:
     """The step that was decided."""
     if step.act == "save":
         epochs.ask(desk, name, step.reason)
@@ -170,9 +170,7 @@
         else:
             held[post.node] = permit
     full = (desk.now // PERMIT_MS + 1) * PERMIT_MS
-    desk.change(
-        name, permits=tuple(held.values()), reason=reason, wake_ms=max(desk.now + 1, min(step.wake_ms, full))
-    )
+    desk.change(name, permits=tuple(held.values()), reason=reason, wake_ms=max(desk.now + 1, min(step.wake_ms, full)))
 
 
 def _reserve(desk: Desk, name: str, row: GangRow, posts: list[Post], step: Step) -> None:
--- a/brookreach/gangs/move.py
+++ b/brookreach/gangs/move.py
@@ -124,8 +124,12 @@
 
 
 def _leave(
-    sight: Sight, leaving: Sequence[Post], given_ms: Mapping[str, int],
-    room: Callable[[tuple[int, ...]], bool], free_to_go: Callable[[str], bool], wake: list[int],
+    sight: Sight,
+    leaving: Sequence[Post],
+    given_ms: Mapping[str, int],
+    room: Callable[[tuple[int, ...]], bool],
+    free_to_go: Callable[[str], bool],
+    wake: list[int],
 ) -> Step | None:
     """A step because of notices; None: not yet, `wake` says when to look again."""
     now, first = sight.now, leaving[0]
--- a/brookreach/gangs/orders.py
+++ b/brookreach/gangs/orders.py
@@ -114,8 +114,10 @@
 def proper(order: Submit, now: int) -> None:
     """Raises Refusal with what stands there and what is allowed, beyond what each field's bounds say."""
     bounds = (
-        ("members", order.members, MOST_MEMBERS), ("room", order.room, MOST_ROOM),
-        ("work_ms", order.work_ms, MOST_MS), ("cost_ms", order.cost_ms, MOST_MS),
+        ("members", order.members, MOST_MEMBERS),
+        ("room", order.room, MOST_ROOM),
+        ("work_ms", order.work_ms, MOST_MS),
+        ("cost_ms", order.cost_ms, MOST_MS),
         ("load_ms", order.load_ms, MOST_MS),
     )
     for name, value, most in bounds:
@@ -123,9 +125,7 @@
             raise Refusal(f"{order.gang}: {name}: {value}; 1 to {most} are allowed")
     least = now + order.work_ms + order.load_ms
     if order.deadline_ms and order.deadline_ms < least:
-        raise Refusal(
-            f"{order.gang}: deadline_ms: {order.deadline_ms}; with work and load {least} is the soonest"
-        )
+        raise Refusal(f"{order.gang}: deadline_ms: {order.deadline_ms}; with work and load {least} is the soonest")
     for name, told in (("zones", order.zones), ("builds", order.builds)):
         if len(set(told)) != len(told):
             raise Refusal(f"{order.gang}: {name}: {list(told)}; each may stand there once")
--- a/brookreach/gangs/piece.py
+++ b/brookreach/gangs/piece.py
@@ -31,9 +31,15 @@
     version = 1
     orders: Any = orders.Orders
     tables: Mapping[str, type[Row]] = {
-        rows.GANGS: rows.GangRow, rows.MEMBERS: rows.MemberRow, rows.ROOMS: rows.RoomRow,
-        rows.PLACES: rows.PlaceRow, rows.HANDS: rows.HandRow, rows.QUEUE: rows.QueueRow,
-        rows.DUES: rows.DueRow, rows.WAKES: rows.WakeRow, rows.SUMS: rows.SumsRow,
+        rows.GANGS: rows.GangRow,
+        rows.MEMBERS: rows.MemberRow,
+        rows.ROOMS: rows.RoomRow,
+        rows.PLACES: rows.PlaceRow,
+        rows.HANDS: rows.HandRow,
+        rows.QUEUE: rows.QueueRow,
+        rows.DUES: rows.DueRow,
+        rows.WAKES: rows.WakeRow,
+        rows.SUMS: rows.SumsRow,
     }
 
     def __init__(self, permits: Permits, prefer: Prefer | None = None):
@@ -146,9 +152,20 @@
     if desk.draft.get(rows.GANGS, order.gang) is not None:
         raise Refusal(f"{order.gang}: a gang of this name stands; Cancel takes an ended one away")
     row = rows.GangRow(
-        order.members, order.room, order.work_ms, order.cost_ms, order.load_ms, order.deadline_ms,
-        tuple(sorted(order.zones)), tuple(sorted(order.builds)), order.flexible, "waiting", desk.now,
-        submitted_ms=desk.now, order=desk.index, reason=f"submitted by {desk.context.by}",
+        order.members,
+        order.room,
+        order.work_ms,
+        order.cost_ms,
+        order.load_ms,
+        order.deadline_ms,
+        tuple(sorted(order.zones)),
+        tuple(sorted(order.builds)),
+        order.flexible,
+        "waiting",
+        desk.now,
+        submitted_ms=desk.now,
+        order=desk.index,
+        reason=f"submitted by {desk.context.by}",
     )
     places, nodes = ever(desk.draft, row)
     if places < order.members:
@@ -239,7 +256,8 @@
     if not any(one.node == desk.context.by for _, one in desk.members(order.gang)):
         raise Refusal(f"{order.gang}: no member of it is on {desk.context.by}")
     desk.change(
-        order.gang, cost_ms=interval.measured(row.cost_ms, order.cost_ms),
+        order.gang,
+        cost_ms=interval.measured(row.cost_ms, order.cost_ms),
         load_ms=interval.measured(row.load_ms, order.load_ms),
     )
 
--- a/brookreach/gangs/place.py
+++ b/brookreach/gangs/place.py
@@ -141,8 +141,14 @@
         return self.under_cap(free.build, there, (placed + fits) * row.room)
 
     def _best(
-        self, row: GangRow, left: int, groups: list, used: dict[str, int], trial: dict[int, int],
-        but: Sequence[str], placed: int,
+        self,
+        row: GangRow,
+        left: int,
+        groups: list,
+        used: dict[str, int],
+        trial: dict[int, int],
+        but: Sequence[str],
+        placed: int,
     ) -> Free | None:
         """The smallest room that takes all that is left; else the largest there is."""
         best: tuple[tuple[int, int, str], Free] | None = None
@@ -161,8 +167,14 @@
         return None if best is None else best[1]
 
     def _late(
-        self, row: GangRow, until: int, zones: Sequence[str], used: dict[str, int], trial: dict[int, int],
-        but: Sequence[str], placed: int,
+        self,
+        row: GangRow,
+        until: int,
+        zones: Sequence[str],
+        used: dict[str, int],
+        trial: dict[int, int],
+        but: Sequence[str],
+        placed: int,
     ) -> Free | None:
         """Where nothing else is: the one whose notice lies farthest off, still past `until` or the
         horizon.
--- a/brookreach/gangs/rows.py
+++ b/brookreach/gangs/rows.py
@@ -8,7 +8,13 @@
 
 GANGS, MEMBERS, ROOMS = "gangs", "members", "rooms"
 PLACES, HANDS, QUEUE, DUES, WAKES, SUMS = (
-    "gang-places", "gang-hands", "gang-queue", "gang-dues", "gang-wakes", "gang-sums")
+    "gang-places",
+    "gang-hands",
+    "gang-queue",
+    "gang-dues",
+    "gang-wakes",
+    "gang-sums",
+)
 
 GangState = Literal["waiting", "placing", "running", "checkpointing", "moving", "done", "failed"]
 
--- a/brookreach/gangs/worker.py
+++ b/brookreach/gangs/worker.py
@@ -193,8 +193,16 @@
         heapq.heappush(self.later, (now_ms() + wait_ms, self.count, then))
 
     def _write(self, what: str, work: Work, **more: Any) -> None:
-        told = {"what": what, "at": now_ms(), "gang": work.slot[0], "member": work.slot[1],
-                "fence": work.fence, "epoch": work.epoch, "until": work.until, **more}
+        told = {
+            "what": what,
+            "at": now_ms(),
+            "gang": work.slot[0],
+            "member": work.slot[1],
+            "fence": work.fence,
+            "epoch": work.epoch,
+            "until": work.until,
+            **more,
+        }
         os.write(self.file, (json.dumps(told) + "\n").encode())
         os.fsync(self.file)
 
--- a/brookreach/interface.py
+++ b/brookreach/interface.py
@@ -326,8 +326,17 @@
 
 
 Event = (
-    NodeList | RpcTaken | RpcGone | PickEnded | ProbeEnded | StreamBegun | TimerRang
-    | RolloutNews | Tally | Disputed | PeerMessage
+    NodeList
+    | RpcTaken
+    | RpcGone
+    | PickEnded
+    | ProbeEnded
+    | StreamBegun
+    | TimerRang
+    | RolloutNews
+    | Tally
+    | Disputed
+    | PeerMessage
 )
 
 
@@ -415,6 +424,17 @@
 
 
 Action = (
-    Pick | PushBack | Abort | CancelPick | SetTimer | Probe | CloseIdle | Vote | FetchList | FollowList
-    | TellPeer | LogLine | Fault
+    Pick
+    | PushBack
+    | Abort
+    | CancelPick
+    | SetTimer
+    | Probe
+    | CloseIdle
+    | Vote
+    | FetchList
+    | FollowList
+    | TellPeer
+    | LogLine
+    | Fault
 )
--- a/brookreach/model/case.py
+++ b/brookreach/model/case.py
@@ -163,12 +163,8 @@
     "work-2.5": Case(fault=_works(2.5)),
     "work-1.6-busy-0.5": Case(fault=_works(1.6), busy=0.5),
     "scheda+15-busy-0.7": Case(fault=_errs(0.15, "scheda"), busy=0.7),
-    "all+20-restarts": Case(
-        fault=_errs(0.20), troubles=(Trouble("restart", 0.4, from_ms=6000.0, until_ms=6001.0),)
-    ),
-    "all+20-stall": Case(
-        fault=_errs(0.20), troubles=(Trouble("stall", 1.0, from_ms=4000.0, until_ms=12_000.0),)
-    ),
+    "all+20-restarts": Case(fault=_errs(0.20), troubles=(Trouble("restart", 0.4, from_ms=6000.0, until_ms=6001.0),)),
+    "all+20-stall": Case(fault=_errs(0.20), troubles=(Trouble("stall", 1.0, from_ms=4000.0, until_ms=12_000.0),)),
     "rare+36": Case(fault=_errs(0.36, "immatricola"), shares=(0.495, 0.495, 0.01)),
     "all+20-tallies-lost": Case(fault=_errs(0.20), tally_loss=0.5),
     "late-all+20": Case(fault=Fault(errors={"": 0.20}, from_ms=25_000.0), after_ms=30_000.0),
--- a/brookreach/model/experiment.py
+++ b/brookreach/model/experiment.py
@@ -109,12 +109,8 @@
                 "open": len(ended["open"]),
                 "back_ms": _median([row["ended_ms"] for row in ended["back"]]),
                 "released_ms": _median([row["ended_ms"] for row in ended["released"]]),
-                "harmed": round(
-                    sum(row["harmed"] for row in some) / max(1, sum(row["rpcs"] for row in some)), 4
-                ),
-                "in_time": round(
-                    sum(row["in_time"] for row in some) / max(1, sum(row["rpcs"] for row in some)), 4
-                ),
+                "harmed": round(sum(row["harmed"] for row in some) / max(1, sum(row["rpcs"] for row in some)), 4),
+                "in_time": round(sum(row["in_time"] for row in some) / max(1, sum(row["rpcs"] for row in some)), 4),
             }
         )
     return out
@@ -128,9 +124,7 @@
     )
     lines = [head]
     for row in summed:
-        back, released = (
-            f"{row[key] / 1000.0:.1f}" if row[key] else "-" for key in ("back_ms", "released_ms")
-        )
+        back, released = (f"{row[key] / 1000.0:.1f}" if row[key] else "-" for key in ("back_ms", "released_ms"))
         between = f"{row['low']:.3f}-{row['high']:.3f}"
         lines.append(
             f"{row['case']:26} {'bad' if row['bad'] else 'good':5} {row['waves']:6} {row['errors']:7} "
--- a/brookreach/model/keepers.py
+++ b/brookreach/model/keepers.py
@@ -27,17 +27,19 @@
 
 @main.command()
 @click.option("--seeds", type=click.IntRange(1), default=200, show_default=True)
-@click.option("--scale", type=click.FloatRange(1.0), default=2.0, show_default=True,
-              help="Election time of the figures beside.")
+@click.option(
+    "--scale", type=click.FloatRange(1.0), default=2.0, show_default=True, help="Election time of the figures beside."
+)
 @click.option("--disk/--no-disk", default=True, show_default=True, help="This machine's disk, too.")
 @click.option("--rounds", type=click.IntRange(1), default=9, show_default=True, help="Of the disk's.")
 def times(seeds: int, scale: float, disk: bool, rounds: int) -> None:
     """Time without a leader by fault; records, commits and syncs of a group's disks."""
-    _say(f"Without a leader, {seeds} seeds each, virtual ms",
-         keepers_times.times(seeds, Timing(), scale=scale))
+    _say(f"Without a leader, {seeds} seeds each, virtual ms", keepers_times.times(seeds, Timing(), scale=scale))
     if disk:
-        _say(f"Disks of three keepers in a temporary folder, {rounds} rounds of 60 commits",
-             keepers_store.disk(rounds, 60))
+        _say(
+            f"Disks of three keepers in a temporary folder, {rounds} rounds of 60 commits",
+            keepers_store.disk(rounds, 60),
+        )
 
 
 @main.command()
@@ -50,12 +52,15 @@
 def load(seeds: int, marshals: tuple[int, ...], nodes: int, gbit: float, minutes: float, sizes: bool) -> None:
     """Bytes by the number of marshals; all that come or return at once; cost as the fleet grows."""
     timing = Timing()
-    _say(f"Bytes a second, {nodes} nodes, {minutes:g} virtual minutes, seed 1",
-         keepers_load.marshals_table(marshals, nodes, timing, gbit, minutes))
-    _say(f"At once, {nodes} nodes, uplinks of {gbit:g} Gbit/s, virtual ms, seed 1",
-         keepers_load.return_table(marshals, nodes, timing, gbit))
-    _say("The leader's end by seed, virtual ms",
-         keepers_load.seeds_table(100, seeds, nodes, timing, gbit))
+    _say(
+        f"Bytes a second, {nodes} nodes, {minutes:g} virtual minutes, seed 1",
+        keepers_load.marshals_table(marshals, nodes, timing, gbit, minutes),
+    )
+    _say(
+        f"At once, {nodes} nodes, uplinks of {gbit:g} Gbit/s, virtual ms, seed 1",
+        keepers_load.return_table(marshals, nodes, timing, gbit),
+    )
+    _say("The leader's end by seed, virtual ms", keepers_load.seeds_table(100, seeds, nodes, timing, gbit))
     if sizes:
         _say("Processor time of one record, of the smallest fleet's", keepers_sizes.sizes_table())
         _say("The same by drains that are over, 1,000 nodes", keepers_sizes.kept_table())
--- a/brookreach/model/keepers_crowd.py
+++ b/brookreach/model/keepers_crowd.py
@@ -85,8 +85,9 @@
         for name in NAMES:
             disk = self.disks[name] = MemoryDisk(NAMES)
             disk.save(Save(1, "", 0, [], (1, 1, NAMES, octets)))
-            self.keepers[name] = Keeper(name, pieces(), disk.load(), "g", timing,
-                                        random.Random(f"{seed} {name}"), NAMES)
+            self.keepers[name] = Keeper(
+                name, pieces(), disk.load(), "g", timing, random.Random(f"{seed} {name}"), NAMES
+            )
             self._keeper(name, lambda one: None)
 
     # --- the clock ---
@@ -195,8 +196,9 @@
     def add(self, name: str, kind: words.Kind = "marshal") -> Client:
         watched = WATCHED if kind == "marshal" else (PERMITS,)
         tables = {one: PIECE.tables[one] for one in watched}
-        client = self.clients[name] = Client(name, kind, NAMES, self.timing,
-                                             random.Random(f"{name} {self.chance.random()}"), tables)
+        client = self.clients[name] = Client(
+            name, kind, NAMES, self.timing, random.Random(f"{name} {self.chance.random()}"), tables
+        )
         self._client(client)
         return client
 
@@ -209,8 +211,9 @@
         name = client.name
         for event in client.news():
             if client.kind == "marshal" and isinstance(event, Joined) and not event.again:
-                client.ask(self.now, PIECE.name, MarshalSeen(name, "z0", 0, SERVICE, "ready", True,
-                                                             client.mirror.index))
+                client.ask(
+                    self.now, PIECE.name, MarshalSeen(name, "z0", 0, SERVICE, "ready", True, client.mirror.index)
+                )
             elif isinstance(event, SessionLost):
                 self.lost.append(name)
         for keeper, body in client.out():
--- a/brookreach/model/keepers_load.py
+++ b/brookreach/model/keepers_load.py
@@ -27,6 +27,7 @@
 
 def _drain(crowd: Crowd, node: str, ms: float) -> None:
     """One drain from asked to back: four records, as agents say them."""
+
     def given() -> None:
         crowd.ask("op", AskDrain(f"work-{node}", node, 5, "work"))
 
@@ -39,8 +40,9 @@
     crowd.at(ms + 4_000.0, lambda: stands("ready", 2))
 
 
-def traffic(marshals: int, nodes: int, seed: int, timing: Timing, gbit: float, minutes: float,
-            drains: int) -> tuple[float, float, float]:
+def traffic(
+    marshals: int, nodes: int, seed: int, timing: Timing, gbit: float, minutes: float, drains: int
+) -> tuple[float, float, float]:
     """Bytes a second: to a marshal, from a marshal, the leader's to all together."""
     crowd = Crowd(nodes, seed, timing, gbit)
     _stands(crowd, marshals)
@@ -61,16 +63,22 @@
         raise RuntimeError(f"{back} of {many} drains were agreed and over")
     ours = [f"m{nth}" for nth in range(marshals)]
     seconds = spell / 1000.0
-    return (sum(crowd.says[name] for name in ours) / marshals / seconds,
-            sum(crowd.heard[name] for name in ours) / marshals / seconds,
-            crowd.handed[crowd.leader()] / seconds)
+    return (
+        sum(crowd.says[name] for name in ours) / marshals / seconds,
+        sum(crowd.heard[name] for name in ours) / marshals / seconds,
+        crowd.handed[crowd.leader()] / seconds,
+    )
 
 
-def marshals_table(sizes: tuple[int, ...], nodes: int, timing: Timing, gbit: float, minutes: float,
-                   seed: int = 1) -> list[str]:
+def marshals_table(
+    sizes: tuple[int, ...], nodes: int, timing: Timing, gbit: float, minutes: float, seed: int = 1
+) -> list[str]:
     """10 drains a minute beside none."""
-    lines = ["| marshals | idle: to one, bytes/s | from one | leader in all | 10 drains a minute: to one "
-             "| from one | leader in all |", "| --- " * 7 + "|"]
+    lines = [
+        "| marshals | idle: to one, bytes/s | from one | leader in all | 10 drains a minute: to one "
+        "| from one | leader in all |",
+        "| --- " * 7 + "|",
+    ]
     for size in sizes:
         idle = traffic(size, nodes, seed, timing, gbit, minutes, 0)
         busy = traffic(size, nodes, seed, timing, gbit, minutes, 10)
@@ -79,8 +87,9 @@
     return lines
 
 
-def came(marshals: int, nodes: int, seed: int, timing: Timing, gbit: float,
-         silent: bool) -> list[tuple[str, float, float, int, int, int]]:
+def came(
+    marshals: int, nodes: int, seed: int, timing: Timing, gbit: float, silent: bool
+) -> list[tuple[str, float, float, int, int, int]]:
     """What happened; ms until half and the last were told; the leader's most bytes in 100 ms, and all until
     quiet; sessions that were lost.
 
@@ -111,28 +120,37 @@
     return times[len(times) // 2], times[-1], crowd.burst(leader), crowd.handed[leader], len(crowd.lost)
 
 
-def return_table(sizes: tuple[int, ...], nodes: int, timing: Timing, gbit: float,
-                 seed: int = 1) -> list[str]:
-    lines = ["| marshals | what | until half are told, ms | the last | leader's most bytes in 100 ms "
-             "| in all | a marshal | sessions lost |", "| --- " * 8 + "|"]
+def return_table(sizes: tuple[int, ...], nodes: int, timing: Timing, gbit: float, seed: int = 1) -> list[str]:
+    lines = [
+        "| marshals | what | until half are told, ms | the last | leader's most bytes in 100 ms "
+        "| in all | a marshal | sessions lost |",
+        "| --- " * 8 + "|",
+    ]
     for size in sizes:
         killed, gone = (came(size, nodes, seed, timing, gbit, silent) for silent in (False, True))
         for what, half, last, burst, octets, lost in (*killed, gone[1]):
-            lines.append(f"| {size:,} | {what} | {half:,.0f} | {last:,.0f} | {burst:,} | {octets:,} "
-                         f"| {octets // size:,} | {lost} |")
+            lines.append(
+                f"| {size:,} | {what} | {half:,.0f} | {last:,.0f} | {burst:,} | {octets:,} "
+                f"| {octets // size:,} | {lost} |"
+            )
     return lines
 
 
 def seeds_table(marshals: int, seeds: int, nodes: int, timing: Timing, gbit: float) -> list[str]:
     """The leader's end again by seed, since a lease must outlast it."""
-    lines = ["| marshals | seeds | what | half are told, ms: median of seeds | the last: median | worst "
-             "| sessions lost | seeds with one |", "| --- " * 8 + "|"]
+    lines = [
+        "| marshals | seeds | what | half are told, ms: median of seeds | the last: median | worst "
+        "| sessions lost | seeds with one |",
+        "| --- " * 8 + "|",
+    ]
     for silent in (False, True):
         ends = [came(marshals, nodes, seed, timing, gbit, silent)[1] for seed in range(1, seeds + 1)]
         half = statistics.median(one[1] for one in ends)
         last = statistics.median(one[2] for one in ends)
         lost = [one[5] for one in ends]
-        lines.append(f"| {marshals} | {seeds} | {ends[0][0]} | {half:,.0f} | {last:,.0f} "
-                     f"| {max(one[2] for one in ends):,.0f} | {sum(lost)} of {marshals * seeds} "
-                     f"| {sum(map(bool, lost))} |")
+        lines.append(
+            f"| {marshals} | {seeds} | {ends[0][0]} | {half:,.0f} | {last:,.0f} "
+            f"| {max(one[2] for one in ends):,.0f} | {sum(lost)} of {marshals * seeds} "
+            f"| {sum(map(bool, lost))} |"
+        )
     return lines
--- a/brookreach/model/keepers_sizes.py
+++ b/brookreach/model/keepers_sizes.py
@@ -66,8 +66,13 @@
             if name not in self.seqs:
                 self.begin(name, "agent")
         place = self.machine.applied
-        return self.took([self.entry(name, "agent", seen(name, standing, 2, place))
-                          for name in names for standing in ("cold", "ready")])
+        return self.took(
+            [
+                self.entry(name, "agent", seen(name, standing, 2, place))
+                for name in names
+                for standing in ("cold", "ready")
+            ]
+        )
 
     def drained(self, nth: int) -> float:
         """An operator asks; a tenth of the fleet is given, the rest waits."""
@@ -127,10 +132,13 @@
 def sizes_table(sizes: tuple[int, ...] = SIZES, rounds: int = ROUNDS) -> list[str]:
     costs = {size: cost(size, rounds) for size in sizes}
     names = [name for name in costs[sizes[0]] if name != "bytes"]
-    lines = [f"| nodes | of {sizes[0]} | {' | '.join(names)} | snapshot's bytes | a node |",
-             "| --- " * (len(names) + 4) + "|"]
+    lines = [
+        f"| nodes | of {sizes[0]} | {' | '.join(names)} | snapshot's bytes | a node |",
+        "| --- " * (len(names) + 4) + "|",
+    ]
     for size, found in costs.items():
         shares = " | ".join(f"{found[name] / costs[sizes[0]][name]:.2f}" for name in names)
-        lines.append(f"| {size:,} | {size / sizes[0]:.0f} | {shares} | {found['bytes']:,.0f} "
-                     f"| {found['bytes'] / size:.0f} |")
+        lines.append(
+            f"| {size:,} | {size / sizes[0]:.0f} | {shares} | {found['bytes']:,.0f} | {found['bytes'] / size:.0f} |"
+        )
     return lines
--- a/brookreach/model/keepers_store.py
+++ b/brookreach/model/keepers_store.py
@@ -33,8 +33,9 @@
         self.stores = {name: Store(folder / f"{name}.db", "g", name) for name in NAMES}
         for store in self.stores.values():
             store.found(NAMES)
-        self.rafts = {name: Raft(name, store.load(), NAMES, STILL, random.Random(name))
-                      for name, store in self.stores.items()}
+        self.rafts = {
+            name: Raft(name, store.load(), NAMES, STILL, random.Random(name)) for name, store in self.stores.items()
+        }
         self.now, self.applied = 0.0, 0
         while not any(raft.leads for raft in self.rafts.values()):
             self.now = min(max(self.now, raft.wake_ms()) for raft in self.rafts.values())
@@ -93,15 +94,20 @@
                 found[size].append(trio.commit(size, commits))
         trio.close()
     each = syncs()
-    lines = ["| outstanding | records a commit | commits a second, of those at 1 | least, most of the rounds "
-             "| records a second, of those at 1 | syncs a commit |", "| --- " * 6 + "|"]
+    lines = [
+        "| outstanding | records a commit | commits a second, of those at 1 | least, most of the rounds "
+        "| records a second, of those at 1 | syncs a commit |",
+        "| --- " * 6 + "|",
+    ]
     for size in sizes:
         pairs = list(zip(found[size], found[sizes[0]], strict=True))
         commits_of = [one[1] / first[1] for one, first in pairs]
         records_of = statistics.median(one[2] / first[2] for one, first in pairs)
         per = statistics.median(one[0] for one in found[size])
-        lines.append(f"| {size} | {per:.1f} | {statistics.median(commits_of):.2f} | {min(commits_of):.2f}, "
-                     f"{max(commits_of):.2f} | {records_of:.1f} | {each.get(size, 'no strace here')} |")
+        lines.append(
+            f"| {size} | {per:.1f} | {statistics.median(commits_of):.2f} | {min(commits_of):.2f}, "
+            f"{max(commits_of):.2f} | {records_of:.1f} | {each.get(size, 'no strace here')} |"
+        )
     return lines
 
 
--- a/brookreach/model/keepers_times.py
+++ b/brookreach/model/keepers_times.py
@@ -44,8 +44,12 @@
 
 
 FAULTS: dict[str, Callable[[Net, Node], None]] = {
-    "killed": _killed, "stopped": _stopped, "cut both ways": _cut_off, "not heard": _not_heard,
-    "hears nothing": _hears_nothing, "handed over": _handed_over,
+    "killed": _killed,
+    "stopped": _stopped,
+    "cut both ways": _cut_off,
+    "not heard": _not_heard,
+    "hears nothing": _hears_nothing,
+    "handed over": _handed_over,
 }
 
 
@@ -83,27 +87,46 @@
 
 
 def _led(net: Net, term: int) -> bool:
-    return any(one.raft.leading is not None and one.raft.term > term
-               and one.raft.committed >= one.raft.leading.first for one in net.up())
+    return any(
+        one.raft.leading is not None and one.raft.term > term and one.raft.committed >= one.raft.leading.first
+        for one in net.up()
+    )
 
 
 def _top(net: Net) -> int:
     return max(one.raft.term for one in net.up())
 
 
-def times(seeds: int, timing: Timing, sizes: tuple[int, ...] = (3, 5), scale: float = 2.0,
-          faults: tuple[str, ...] = tuple(FAULTS)) -> list[str]:
+def times(
+    seeds: int,
+    timing: Timing,
+    sizes: tuple[int, ...] = (3, 5),
+    scale: float = 2.0,
+    faults: tuple[str, ...] = tuple(FAULTS),
+) -> list[str]:
     """Lines of a table; beside `timing` the same with `election_ms` times `scale`."""
-    slow = Timing(timing.beat_ms, timing.election_ms * scale, timing.lease_ms, timing.drift,
-                  timing.most_queued, timing.cut_entries)
+    slow = Timing(
+        timing.beat_ms,
+        timing.election_ms * scale,
+        timing.lease_ms,
+        timing.drift,
+        timing.most_queued,
+        timing.cut_entries,
+    )
     head = f"election {timing.election_ms:.0f} ms"
     beside = f"election {slow.election_ms:.0f} ms"
-    lines = [f"| leader | keepers | {head}: median ms | worst | elections | later | {beside}: median ms "
-             "| worst | elections | later |", "| --- " * 10 + "|"]
+    lines = [
+        f"| leader | keepers | {head}: median ms | worst | elections | later | {beside}: median ms "
+        "| worst | elections | later |",
+        "| --- " * 10 + "|",
+    ]
     for fault in faults:
         for keepers in sizes:
-            cells = [cell for one in (timing, slow)
-                     for cell in _cells([gap(fault, seed, keepers, one) for seed in range(1, seeds + 1)])]
+            cells = [
+                cell
+                for one in (timing, slow)
+                for cell in _cells([gap(fault, seed, keepers, one) for seed in range(1, seeds + 1)])
+            ]
             lines.append(f"| {fault} | {keepers} | {' | '.join(cells)} |")
     return lines
 
--- a/brookreach/model/raftnet.py
+++ b/brookreach/model/raftnet.py
@@ -39,8 +39,7 @@
 
 
 class Net:
-    def __init__(self, seed: int, names: str = "abc", timing: Timing = TIMING, loss: float = 0.0,
-                 most_ms: float = 4.0):
+    def __init__(self, seed: int, names: str = "abc", timing: Timing = TIMING, loss: float = 0.0, most_ms: float = 4.0):
         self.chance, self.timing = random.Random(seed), timing
         self.loss, self.most_ms, self.now, self.count = loss, most_ms, 0.0, 0
         self.queue: list[tuple[float, int, str, str, Body]] = []
@@ -86,7 +85,7 @@
         return max(leads, key=lambda node: node.raft.term, default=None)
 
     def cut(self, *pairs: str) -> None:
-        """"ab": what a says does not come to b."""
+        """ "ab": what a says does not come to b."""
         self.cuts |= {(pair[0], pair[1]) for pair in pairs}
 
     def apart(self, name: str) -> None:
--- a/brookreach/model/world.py
+++ b/brookreach/model/world.py
@@ -125,9 +125,7 @@
     def over(self, end: float) -> bool:
         if self.out.ended == "open":
             return self.now >= end
-        return (
-            self.out.ended != "released" or self.now >= self.offer_at + self.out.ended_ms + self.case.after_ms
-        )
+        return self.out.ended != "released" or self.now >= self.offer_at + self.out.ended_ms + self.case.after_ms
 
     def since_offer(self) -> float:
         return self.now - self.offer_at
@@ -197,9 +195,7 @@
             self.rpc_ids += 1
             self.out.rpcs += self.since_offer() >= 0.0
             seat.ends[self.rpc_ids] = self.now + facts.hard_ms, self.now + facts.soft_ms, method
-            self.tell(
-                seat, ifc.RpcTaken(self.rpc_ids, method, 0, 0, self.now + facts.hard_ms, None, False, False)
-            )
+            self.tell(seat, ifc.RpcTaken(self.rpc_ids, method, 0, 0, self.now + facts.hard_ms, None, False, False))
 
     def pick(self, seat: Seat, action: ifc.Pick) -> None:
         method = seat.ends[action.rpc][2] if action.rpc in seat.ends else 0
@@ -217,11 +213,7 @@
             return self.answer(job, number, ifc.Ending.NO_CONNECT)
         since = self.since_offer()
         for trouble in self.case.troubles:
-            if (
-                trouble.kind == "err"
-                and self.befalls(trouble, node, since)
-                and self.chance.random() < trouble.size
-            ):
+            if trouble.kind == "err" and self.befalls(trouble, node, since) and self.chance.random() < trouble.size:
                 return self.at(20.0, self.answer, job, number, ifc.Ending.ERROR)
         if not node.offer(job):
             return self.answer(job, number, ifc.Ending.FULL)
@@ -291,9 +283,7 @@
 
     def entry(self, node: Node) -> ifc.NodeEntry:
         state = (
-            ifc.NodeState.GONE
-            if not node.up
-            else (ifc.NodeState.DRAINING if node.draining else ifc.NodeState.READY)
+            ifc.NodeState.GONE if not node.up else (ifc.NodeState.DRAINING if node.draining else ifc.NodeState.READY)
         )
         return ifc.NodeEntry(node.number, state, node.started, node.build, 0, 0, 0, 1.0)
 
@@ -318,9 +308,7 @@
     def succeeds(self, place: int, build: int) -> None:
         self.replacing -= 1
         node = self.add_node(place, build, self.now)
-        olds = [
-            old for old in self.nodes.values() if old.place == place and old is not node and not old.draining
-        ]
+        olds = [old for old in self.nodes.values() if old.place == place and old is not node and not old.draining]
         for old in olds:
             old.draining = True
             self.at(DRAIN_MS, self.leave, old)
@@ -332,9 +320,7 @@
 
     # --- the platform ---
 
-    def news(
-        self, reply: bool = False, ending: ifc.Ending = ifc.Ending.OK, age: float = 0.0
-    ) -> ifc.RolloutNews:
+    def news(self, reply: bool = False, ending: ifc.Ending = ifc.Ending.OK, age: float = 0.0) -> ifc.RolloutNews:
         cap = {ifc.Phase.GOING_BACK: 0.0, ifc.Phase.WITHDRAWN: 0.0}.get(
             self.phase, min(1.0, 1.4 * self.case.stages[self.stage])
         )
@@ -375,11 +361,7 @@
         if self.stalled():
             return self.at(2000.0, self.reply, seat, life, ifc.Ending.TIMEOUT)
         seat.vote = vote.verdict, vote.stage, vote.build, self.now
-        if (
-            vote.verdict == ifc.Verdict.BACK
-            and math.isnan(self.out.first_back_ms)
-            and vote.build == self.build
-        ):
+        if vote.verdict == ifc.Verdict.BACK and math.isnan(self.out.first_back_ms) and vote.build == self.build:
             self.out.first_back_ms = self.since_offer()
         self.at(0.0, self.reply, seat, life, ifc.Ending.OK)
         self.count_votes()
--- a/brookreach/net/discovery.py
+++ b/brookreach/net/discovery.py
@@ -40,13 +40,26 @@
 
 
 class Discovery:
-    def __init__(self, limits: Limits, report: Report, zones: list[str], kinds: list[str],
-                 chance: random.Random, told: Callable[[ifc.NodeList, list[Listed]], None]):
+    def __init__(
+        self,
+        limits: Limits,
+        report: Report,
+        zones: list[str],
+        kinds: list[str],
+        chance: random.Random,
+        told: Callable[[ifc.NodeList, list[Listed]], None],
+    ):
         self.limits, self.report, self.told = limits, report, told
         self.reads: dict[str, Callable[[Any], Any]] = {  # of an entry, each key that is read
-            "phase": STATES.__getitem__, "up_since_ms": float, "size": float, "revision_no": int, "cell": int,
+            "phase": STATES.__getitem__,
+            "up_since_ms": float,
+            "size": float,
+            "revision_no": int,
+            "cell": int,
             "locality": {name: at for at, name in enumerate(zones)}.__getitem__,
-            "flavor": {name: at for at, name in enumerate(kinds)}.__getitem__, "host_port": address}
+            "flavor": {name: at for at, name in enumerate(kinds)}.__getitem__,
+            "host_port": address,
+        }
         self.numbers: dict[str, int] = {}  # of the ids that are listed
         self.made = 0  # numbers given out so far
         self.version = 0
@@ -112,8 +125,15 @@
         if drained and state == ifc.NodeState.READY:
             state = ifc.NodeState.DRAINING
         entry = ifc.NodeEntry(
-            node=number, state=state, started_ms=started, build=told["revision_no"], zone=told["locality"],
-            cell=told["cell"], kind=told["flavor"], size=size)
+            node=number,
+            state=state,
+            started_ms=started,
+            build=told["revision_no"],
+            zone=told["locality"],
+            cell=told["cell"],
+            kind=told["flavor"],
+            size=size,
+        )
         return Listed(entry, told["host_port"])
 
     def move(self, at: tuple[str, int]) -> None:
@@ -133,8 +153,9 @@
                 async with anyio.create_task_group() as calls:
                     calls.start_soon(self._connection, self.at, calls)
 
-    async def _connection(self, at: tuple[str, int] | None, calls: TaskGroup,
-                          before: anyio.CancelScope | None = None) -> None:
+    async def _connection(
+        self, at: tuple[str, int] | None, calls: TaskGroup, before: anyio.CancelScope | None = None
+    ) -> None:
         """The calls on one connection, until it is lost or the next one goes on; `before` are those of the
         late one that it was opened beside, which is left once this one has heard."""
         with anyio.CancelScope() as all_calls:
@@ -166,8 +187,9 @@
             except Exception:  # a defect must not end the program: the next try may meet better bytes
                 self.report.say("fault", traceback.format_exc(limit=-2))
 
-    async def _watch(self, http: Http, at: tuple[str, int] | None, calls: TaskGroup,
-                     all_calls: anyio.CancelScope) -> bool:
+    async def _watch(
+        self, http: Http, at: tuple[str, int] | None, calls: TaskGroup, all_calls: anyio.CancelScope
+    ) -> bool:
         """One watch; whether it was so late that the next one is open already, on a connection of its own."""
         wait, late = self.limits.watch_s, Late()
         if self.limits.late_s < self.limits.answer_s:
@@ -179,8 +201,9 @@
             late.waited.cancel()
         return late.followed
 
-    async def _beside(self, at: tuple[str, int] | None, calls: TaskGroup, all_calls: anyio.CancelScope,
-                      late: Late) -> None:
+    async def _beside(
+        self, at: tuple[str, int] | None, calls: TaskGroup, all_calls: anyio.CancelScope, late: Late
+    ) -> None:
         """Opens the next watch beside one that is late. Of a late one it can't be told whether it has fallen
         silent or waits in the queue of the service: left too soon it has used that for nothing, kept too long
         it is a drain not heard. Whichever answers, the other is the next watch: no call is made in vain."""
--- a/brookreach/net/driver.py
+++ b/brookreach/net/driver.py
@@ -38,8 +38,7 @@
 
 
 class Driver:
-    def __init__(self, start: ifc.Start, limits: Limits, report: Report, clock: Clock,
-                 poller: Poller) -> None:
+    def __init__(self, start: ifc.Start, limits: Limits, report: Report, clock: Clock, poller: Poller) -> None:
         self.start, self.limits, self.report, self.clock = start, limits, report, clock
         self.methods = {method.name.encode(): at for at, method in enumerate(start.methods)}
         self.queue: deque[ifc.Event | PickOutcome] = deque()
@@ -64,8 +63,7 @@
 
     def put_off(self, vote: ifc.Vote) -> None:
         """A vote before the platform's part has started: it may be said again."""
-        self.put(ifc.RolloutNews(True, ifc.Ending.NO_CONNECT, vote.stage, 0.0, ifc.Phase.ON_TRIAL, 0.0,
-                                 vote.build))
+        self.put(ifc.RolloutNews(True, ifc.Ending.NO_CONNECT, vote.stage, 0.0, ifc.Phase.ON_TRIAL, 0.0, vote.build))
 
     def alarm(self, delay_ms: float, what: Expiring) -> None:
         self._at(delay_ms, what)
@@ -85,8 +83,11 @@
         self.names.add(statement.name)
         # Its bytes may have waited since the last turn; the client's wait has run since then.
         deadline = self.clock.at(self.poller.since) + statement.wait_ms
-        self.put(ifc.RpcTaken(self.taken, method, 0, statement.key, deadline, statement.cost_ms,
-                              statement.repeat, statement.write))
+        self.put(
+            ifc.RpcTaken(
+                self.taken, method, 0, statement.key, deadline, statement.cost_ms, statement.repeat, statement.write
+            )
+        )
         return self.taken
 
     def gone(self, rpc: int) -> None:
--- a/brookreach/net/limits.py
+++ b/brookreach/net/limits.py
@@ -76,8 +76,9 @@
     memory = int(given.number("memory_mb", MOST_MB) * 1024 * KIB)
     room = min(sockets - 24, memory // 4 // (8 * KIB))
     if room < 16:
-        raise FactsError(f"limits.sockets {sockets} or limits.memory_mb {memory / KIB / KIB:g} leave no "
-                         "room for connections")
+        raise FactsError(
+            f"limits.sockets {sockets} or limits.memory_mb {memory / KIB / KIB:g} leave no room for connections"
+        )
     # One service answers all marshals in turn and may take 2 s for it: who leaves the queue before that
     # has used it for nothing. What one marshal may ask in a second, all together may not. An agent
     # answers at once, for nothing, or is silent while discovery is down; what it has then counts as told,
@@ -87,13 +88,19 @@
     service = settings.word("registryMode", LISTS_ON_REQUEST)
     within = settings.object("guarantees").ms("askWithinUs") / 1000.0
     return Limits(
-        one_service=service, watch_s=min(within, 60.0) if service else 2.0,  # it waits 60 s at most
-        late_s=0.5 if service else math.inf, answer_s=3.0 if service else 1.5,
-        whole_s=3.0 if service else 0.15, first_s=0.0 if service else 0.5,
+        one_service=service,
+        watch_s=min(within, 60.0) if service else 2.0,  # it waits 60 s at most
+        late_s=0.5 if service else math.inf,
+        answer_s=3.0 if service else 1.5,
+        whole_s=3.0 if service else 0.15,
+        first_s=0.0 if service else 0.5,
         refused_s=min(0.1 * settings.count("balancers"), 0.5 * within) if service else 0.04,
         refused_most_s=2.0 * within if service else 0.04,
-        clients=room * 11 // 20, links=room * 9 // 20, large=memory // 16,
+        clients=room * 11 // 20,
+        links=room * 9 // 20,
+        large=memory // 16,
         dial_s=allowed.ms("dialTimeoutUs") / 1000.0,
         idle_s=0.8 * allowed.ms("keepaliveUs") / 1000.0,
         reply_s=settings.object("familyInfo").ms("answerWaitUs") / 1000.0,
-        drain_s=max(3.0, longest) + 0.5)
+        drain_s=max(3.0, longest) + 0.5,
+    )
--- a/brookreach/net/link.py
+++ b/brookreach/net/link.py
@@ -39,8 +39,9 @@
 class PickOutcome:
     """How a pick ended; `answer` are the node's messages where it ended ok."""
 
-    def __init__(self, rpc: int, nth: int, node: int, ending: ifc.Ending, took_ms: float,
-                 answer: list[bytes | memoryview]) -> None:
+    def __init__(
+        self, rpc: int, nth: int, node: int, ending: ifc.Ending, took_ms: float, answer: list[bytes | memoryview]
+    ) -> None:
         self.rpc, self.nth, self.node, self.ending = rpc, nth, node, ending
         self.took_ms, self.answer = took_ms, answer
 
@@ -68,8 +69,16 @@
 class InFlight(Expiring):
     """A pick that has no outcome yet, or a probe (`rpc` 0). Its last byte is written within `write_ms`."""
 
-    def __init__(self, home: Nodes, endpoint: Endpoint, rpc: int, nth: int, wait_ms: float, write_ms: float,
-                 statement: Statement | None) -> None:
+    def __init__(
+        self,
+        home: Nodes,
+        endpoint: Endpoint,
+        rpc: int,
+        nth: int,
+        wait_ms: float,
+        write_ms: float,
+        statement: Statement | None,
+    ) -> None:
         self.home, self.endpoint, self.rpc, self.nth, self.statement = home, endpoint, rpc, nth, statement
         self.node, self.epoch = endpoint.listed.entry.node, endpoint.epoch
         self.began = time.monotonic()
@@ -84,8 +93,9 @@
 
     def too_late(self) -> bool:
         """Whether what made this pick right when it was decided has gone: listing, cap, window or client."""
-        return (self.epoch != self.endpoint.epoch or time.monotonic() >= self.write_until
-                or not self.home.may_write(self))
+        return (
+            self.epoch != self.endpoint.epoch or time.monotonic() >= self.write_until or not self.home.may_write(self)
+        )
 
     def expire(self) -> None:
         if self.link is not None and not self.done:
--- a/brookreach/net/nodes.py
+++ b/brookreach/net/nodes.py
@@ -38,13 +38,15 @@
         for one in listed:
             endpoint = self.endpoints.setdefault(one.entry.node, Endpoint(one))
             old, new = endpoint.listed.entry, one.entry
-            other = (old.started_ms, old.build, endpoint.listed.address) != (
-                new.started_ms, new.build, one.address)
+            other = (old.started_ms, old.build, endpoint.listed.address) != (new.started_ms, new.build, one.address)
             endpoint.listed = one
             if other or new.state != ifc.NodeState.READY:
                 self._retire(endpoint)
-        for number in [n for n, one in self.endpoints.items() if n not in named and kind != ifc.ListKind.DELTA
-                       or one.listed.entry.state == ifc.NodeState.GONE]:
+        for number in [
+            n
+            for n, one in self.endpoints.items()
+            if n not in named and kind != ifc.ListKind.DELTA or one.listed.entry.state == ifc.NodeState.GONE
+        ]:
             del self.endpoints[number]
 
     def _retire(self, endpoint: Endpoint) -> None:
@@ -160,5 +162,3 @@
 
 def _parked_at(link: Link) -> float:
     return link.parked_at
-
-
--- a/brookreach/net/pgwire.py
+++ b/brookreach/net/pgwire.py
@@ -45,12 +45,12 @@
             if len(self.data) > self.first:
                 self._resize(self.first)
         if self.tail == len(self.data):
-            held = self.data[self.head:self.tail]
+            held = self.data[self.head : self.tail]
             if self.head < len(self.data) // 2:  # more than half is one unfinished message
                 self._resize(2 * len(self.data))
-            self.data[:len(held)] = held
+            self.data[: len(held)] = held
             self.head, self.tail = 0, len(held)
-        return memoryview(self.data)[self.tail:]
+        return memoryview(self.data)[self.tail :]
 
     def _resize(self, size: int) -> None:
         more = size - len(self.data)
@@ -75,7 +75,7 @@
         if end > self.tail:
             return None
         self.head = end
-        return memoryview(self.data)[start + 4:end]
+        return memoryview(self.data)[start + 4 : end]
 
     def startup(self) -> memoryview | None:
         """The next message of the kind that has no tag."""
@@ -98,10 +98,18 @@
 READY = b"".join(framed(b"Z", b"I"))
 EMPTY = b"".join(framed(b"I")) + READY
 DONE = b"".join(framed(b"C", b"SET\0")) + READY
-WELCOME = b"".join(
-    [*framed(b"R", INT.pack(0)), *framed(b"S", b"server_encoding\0UTF8\0"),
-     *framed(b"S", b"client_encoding\0UTF8\0"), *framed(b"S", b"standard_conforming_strings\0on\0"),
-     *framed(b"K", INT.pack(0), INT.pack(0))]) + READY
+WELCOME = (
+    b"".join(
+        [
+            *framed(b"R", INT.pack(0)),
+            *framed(b"S", b"server_encoding\0UTF8\0"),
+            *framed(b"S", b"client_encoding\0UTF8\0"),
+            *framed(b"S", b"standard_conforming_strings\0on\0"),
+            *framed(b"K", INT.pack(0), INT.pack(0)),
+        ]
+    )
+    + READY
+)
 TERMINATE = b"".join(framed(b"X"))
 
 
--- a/brookreach/net/platform.py
+++ b/brookreach/net/platform.py
@@ -23,10 +23,13 @@
 from .limits import Limits
 from .report import Report
 
-PHASES = {"Progressing": ifc.Phase.ON_TRIAL, "Aborting": ifc.Phase.GOING_BACK,
-          "Healthy": ifc.Phase.RELEASED, "Aborted": ifc.Phase.WITHDRAWN}
-VERDICTS = {ifc.Verdict.NONE: "blank", ifc.Verdict.ON: "go", ifc.Verdict.HOLD: "stay",
-            ifc.Verdict.BACK: "stop"}
+PHASES = {
+    "Progressing": ifc.Phase.ON_TRIAL,
+    "Aborting": ifc.Phase.GOING_BACK,
+    "Healthy": ifc.Phase.RELEASED,
+    "Aborted": ifc.Phase.WITHDRAWN,
+}
+VERDICTS = {ifc.Verdict.NONE: "blank", ifc.Verdict.ON: "go", ifc.Verdict.HOLD: "stay", ifc.Verdict.BACK: "stop"}
 STATUSES = {429: ifc.Ending.FULL, 409: ifc.Ending.MOOT, 500: ifc.Ending.ERROR, 400: ifc.Ending.ERROR}
 
 
@@ -34,13 +37,20 @@
     stage, cap, age = int(told["step"]), float(told["maxWeight"]), float(told["observedAgoMs"])
     if not 0 <= stage < stages or not 0.0 <= cap < math.inf or not 0.0 <= age < math.inf:
         raise ValueError("step, maxWeight or observedAgoMs out of range")
-    return ifc.RolloutNews(reply, ifc.Ending.OK, stage, cap, PHASES[told["status"]], age,
-                           int(told["version"]))
+    return ifc.RolloutNews(reply, ifc.Ending.OK, stage, cap, PHASES[told["status"]], age, int(told["version"]))
 
 
 class Platform:
-    def __init__(self, limits: Limits, report: Report, methods: list[str], stages: int, at: tuple[str, int],
-                 chance: random.Random, put: Callable[[ifc.Event], None]):
+    def __init__(
+        self,
+        limits: Limits,
+        report: Report,
+        methods: list[str],
+        stages: int,
+        at: tuple[str, int],
+        chance: random.Random,
+        put: Callable[[ifc.Event], None],
+    ):
         self.limits, self.report, self.stages, self.at, self.put = limits, report, stages, at, put
         self.methods = {name: number for number, name in enumerate(methods)}
         self.feeding: anyio.CancelScope | None = None  # the feed at the present address
--- a/brookreach/net/result.py
+++ b/brookreach/net/result.py
@@ -53,5 +53,9 @@
 
 def one_value(body: memoryview) -> bool:
     """A DataRow of one column that holds a value, of the length it says."""
-    return len(body) >= 6 and body[:2] == b"\0\1" and len(body) - 6 <= VALUE and (
-        INT.unpack_from(body, 2)[0] == len(body) - 6)
+    return (
+        len(body) >= 6
+        and body[:2] == b"\0\1"
+        and len(body) - 6 <= VALUE
+        and (INT.unpack_from(body, 2)[0] == len(body) - 6)
+    )
--- a/brookreach/net/statement.py
+++ b/brookreach/net/statement.py
@@ -28,8 +28,18 @@
 class Statement:
     """One RPC as its client worded it, ready to be passed on with another wait."""
 
-    def __init__(self, name: bytes, method: bytes, wait_ms: float, cost_ms: float | None, repeat: bool,
-                 write: bool, key: int, before: bytes, after: bytes) -> None:
+    def __init__(
+        self,
+        name: bytes,
+        method: bytes,
+        wait_ms: float,
+        cost_ms: float | None,
+        repeat: bool,
+        write: bool,
+        key: int,
+        before: bytes,
+        after: bytes,
+    ) -> None:
         self.name, self.method, self.wait_ms, self.cost_ms = name, method, wait_ms, cost_ms
         self.repeat, self.write, self.key = repeat, write, key
         self.before, self.after = before, after
@@ -81,13 +91,18 @@
     wait, at = WAIT.search(said), tail + found.start(1)
     wait_ms = _number(values, b"d")
     assert wait is not None  # d was read just now
-    before, after = bytes(text[:at + wait.start(1)]), bytes(text[at + wait.end(1):])
+    before, after = bytes(text[: at + wait.start(1)]), bytes(text[at + wait.end(1) :])
     if b"\0" in before or b"\0" in after:  # to a node the text would end there
         raise BadStatement(b"22021", "a NUL in the statement")
     return Statement(
-        name=values[b"id"], method=values.get(b"c", b""), wait_ms=wait_ms,
+        name=values[b"id"],
+        method=values.get(b"c", b""),
+        wait_ms=wait_ms,
         cost_ms=_number(values, b"h") / 1000.0 if b"h" in values else None,
-        repeat=values.get(b"r") == b"1", write=kind.group(1).lower() == b"insert",
+        repeat=values.get(b"r") == b"1",
+        write=kind.group(1).lower() == b"insert",
         # Ids stay as the wire gives them: equal keys, equal numbers.
         key=int.from_bytes(values[b"k"], "big") if b"k" in values else 0,
-        before=before, after=after)
+        before=before,
+        after=after,
+    )
--- a/brookreach/net/stream.py
+++ b/brookreach/net/stream.py
@@ -244,6 +244,6 @@
     """What is left of the buffers after so many bytes."""
     for at, one in enumerate(buffers):
         if taken < len(one):
-            return [memoryview(one)[taken:], *buffers[at + 1:]]
+            return [memoryview(one)[taken:], *buffers[at + 1 :]]
         taken -= len(one)
     return []
--- a/brookreach/outages/agent.py
+++ b/brookreach/outages/agent.py
@@ -51,8 +51,15 @@
     """One node's. `away_s`: a given drain is played to its end, the node is back after so long; None: it only
     drains, and comes back as its permit is taken back. `more`: tables that its mirror has besides."""
 
-    def __init__(self, facts: Facts, told: config.FleetFile, key: bytes, away_s: float | None, say: Say,
-                 more: Mapping[str, type[Row]] | None = None):
+    def __init__(
+        self,
+        facts: Facts,
+        told: config.FleetFile,
+        key: bytes,
+        away_s: float | None,
+        say: Say,
+        more: Mapping[str, type[Row]] | None = None,
+    ):
         self.facts, self.away_s, self.say = facts, away_s, say
         self.life = int(time.time())  # later than any before: each start of an agent begins one
         self.standing: Standing = "ready"
@@ -89,8 +96,17 @@
     def _tell(self) -> None:
         if self.client.session:
             one = self.facts
-            order = NodeSeen(one.name, one.zone, one.build, one.service, one.room, self.standing, self.life,
-                             self.standing == "ready", self.client.mirror.index)
+            order = NodeSeen(
+                one.name,
+                one.zone,
+                one.build,
+                one.service,
+                one.room,
+                self.standing,
+                self.life,
+                self.standing == "ready",
+                self.client.mirror.index,
+            )
             self.client.ask(now_ms(), PIECE.name, order)
             self.dial.stir()
 
@@ -110,8 +126,11 @@
 
     def _changed(self) -> None:
         """A drain that was given begins, one that was taken back ends; each is said once."""
-        mine = [(name, row) for name, row in self.client.mirror.rows(PERMITS)
-                if isinstance(row, PermitRow) and row.what == "drain" and row.target == self.facts.name]
+        mine = [
+            (name, row)
+            for name, row in self.client.mirror.rows(PERMITS)
+            if isinstance(row, PermitRow) and row.what == "drain" and row.target == self.facts.name
+        ]
         given = [name for name, row in mine if row.state == "given" and row.life == self.life]
         back = [row for _, row in mine if row.state in OUT and row.back]
         goes = [name for name in given if not self._halted(name)]
--- a/brookreach/outages/attend.py
+++ b/brookreach/outages/attend.py
@@ -41,7 +41,11 @@
     def __init__(self, parts: Any, path: Path, restarts: bool):
         told = config.read(path)
         self.key, self.group, self.addresses, self.timing = (
-            config.read_key(path, told), told.group.name, told.addresses(), told.times())
+            config.read_key(path, told),
+            told.group.name,
+            told.addresses(),
+            told.times(),
+        )
         self.parts, self.restarts, self.name = parts, restarts, parts.report.name
         if not re.fullmatch(r"[A-Za-z0-9._-]{1,64}", self.name):
             raise BadFile([f"name {self.name!r}: in a group 1 to 64 of A-Z a-z 0-9 . _ - are allowed"])
--- a/brookreach/outages/inner.py
+++ b/brookreach/outages/inner.py
@@ -14,8 +14,16 @@
 from brookreach.fleet.piece import Draft, Row, View
 
 COUNTS, OPEN, WAITS, LINES, HELD, DRAWS, DUE, PROGRESS, VOTES = (
-    "outages.counts", "outages.open", "outages.waits", "outages.lines", "outages.held", "outages.draws",
-    "outages.due", "outages.progress", "outages.votes")
+    "outages.counts",
+    "outages.open",
+    "outages.waits",
+    "outages.lines",
+    "outages.held",
+    "outages.draws",
+    "outages.due",
+    "outages.progress",
+    "outages.votes",
+)
 
 
 class CountRow(Row, frozen=True):
@@ -94,9 +102,7 @@
     if not isinstance(view, Draft):
         yield from getattr(view, "walk", view.rows)(table, prefix)
         return
-    laid = sorted(
-        (key, 0, row) for (name, key), row in view.over.items() if name == table and key.startswith(prefix)
-    )
+    laid = sorted((key, 0, row) for (name, key), row in view.over.items() if name == table and key.startswith(prefix))
     if not laid:
         yield from ordered(view.under, table, prefix)
         return
--- a/brookreach/outages/orders.py
+++ b/brookreach/outages/orders.py
@@ -9,9 +9,7 @@
 from brookreach.fleet.piece import Context, Order, Refusal
 from brookreach.fleet.words import Count, Name, Text
 
-Scope = Annotated[
-    str, msgspec.Meta(max_length=80, pattern=r"^(all|build:[0-9]+|(zone|service):[A-Za-z0-9._-]+)\Z")
-]
+Scope = Annotated[str, msgspec.Meta(max_length=80, pattern=r"^(all|build:[0-9]+|(zone|service):[A-Za-z0-9._-]+)\Z")]
 # Lengths are such that the longest key of all tables stays under the 200 characters that the ground takes.
 MOST_NAME = 96  # of a permit that somebody asks for; a release's are longer, and never wait under their names
 Asked = Annotated[str, msgspec.Meta(min_length=1, max_length=MOST_NAME, pattern=r"^[A-Za-z0-9._-]+\Z")]
@@ -141,8 +139,20 @@
 
 
 Orders = (
-    SetBudgets | AskDrain | AskRestart | TakeBack | Halt | Resume | Gone | BeginRelease | SendBack | NodeSeen
-    | MarshalSeen | RetirementNotice | RetirementWithdrawn | Voted
+    SetBudgets
+    | AskDrain
+    | AskRestart
+    | TakeBack
+    | Halt
+    | Resume
+    | Gone
+    | BeginRelease
+    | SendBack
+    | NodeSeen
+    | MarshalSeen
+    | RetirementNotice
+    | RetirementWithdrawn
+    | Voted
 )
 
 OPERATORS = (SetBudgets, AskDrain, TakeBack, Halt, Resume, Gone, BeginRelease, SendBack)
--- a/brookreach/outages/permits.py
+++ b/brookreach/outages/permits.py
@@ -36,9 +36,7 @@
     return row.life if isinstance(row, NodeRow) else row.session
 
 
-def ask(
-    draft: Draft, context: Context, name: str, what: What, target: str, urgency: int, reason: str
-) -> PermitRow:
+def ask(draft: Draft, context: Context, name: str, what: What, target: str, urgency: int, reason: str) -> PermitRow:
     """Puts it in the queue and gives whatever can be given now; raises Refusal.
 
     The same name again changes nothing, but a higher urgency is taken while it waits.
@@ -78,9 +76,7 @@
     return asked
 
 
-def ask_all(
-    draft: Draft, context: Context, what: What, wanted: Mapping[str, str], urgency: int, reason: str
-) -> bool:
+def ask_all(draft: Draft, context: Context, what: What, wanted: Mapping[str, str], urgency: int, reason: str) -> bool:
     """All of `wanted` (permit's name: target) given in this record, or nothing changed."""
     trial = Draft(draft)
     for name in sorted(wanted):
@@ -187,8 +183,7 @@
     targets.lift(draft, kind, wait.target)
     name = wait.name or _restart(draft, context, wait.target)
     permit: PermitRow = draft.get(PERMITS, name)
-    changed = structs.replace(
-        permit, state="given", fence=context.index, given_ms=context.at_ms, life=life(row))
+    changed = structs.replace(permit, state="given", fence=context.index, given_ms=context.at_ms, life=life(row))
     draft.put(PERMITS, name, changed)
     targets.lay(draft, kind, wait.target)
     due.at(draft, context.at_ms + LATE_MS, due.LATE, name)
@@ -208,9 +203,7 @@
     return name
 
 
-def _over(
-    draft: Draft, context: Context, name: str, state: Literal["ended", "taken back"], reason: str
-) -> None:
+def _over(draft: Draft, context: Context, name: str, state: Literal["ended", "taken back"], reason: str) -> None:
     permit: PermitRow = draft.get(PERMITS, name)
     kind = kind_of(permit.what)
     targets.lift(draft, kind, permit.target)
--- a/brookreach/outages/piece.py
+++ b/brookreach/outages/piece.py
@@ -23,11 +23,21 @@
     version = 1
     orders: Any = orders.Orders
     tables: Mapping[str, type[Row]] = {
-        rows.NODES: rows.NodeRow, rows.MARSHALS: rows.MarshalRow, rows.PERMITS: rows.PermitRow,
-        rows.HALT: rows.HaltRow, rows.RELEASES: rows.ReleaseRow, rows.BUDGETS: rows.BudgetRow,
-        rows.ASSIGNED: rows.AssignRow, inner.COUNTS: inner.CountRow, inner.OPEN: inner.OpenRow,
-        inner.WAITS: inner.WaitRow, inner.LINES: inner.LineRow, inner.HELD: inner.HeldRow,
-        inner.DRAWS: inner.DrawRow, inner.DUE: inner.DueRow, inner.PROGRESS: inner.ProgressRow,
+        rows.NODES: rows.NodeRow,
+        rows.MARSHALS: rows.MarshalRow,
+        rows.PERMITS: rows.PermitRow,
+        rows.HALT: rows.HaltRow,
+        rows.RELEASES: rows.ReleaseRow,
+        rows.BUDGETS: rows.BudgetRow,
+        rows.ASSIGNED: rows.AssignRow,
+        inner.COUNTS: inner.CountRow,
+        inner.OPEN: inner.OpenRow,
+        inner.WAITS: inner.WaitRow,
+        inner.LINES: inner.LineRow,
+        inner.HELD: inner.HeldRow,
+        inner.DRAWS: inner.DrawRow,
+        inner.DUE: inner.DueRow,
+        inner.PROGRESS: inner.ProgressRow,
         inner.VOTES: inner.VoteRow,
     }
 
--- a/brookreach/outages/queue.py
+++ b/brookreach/outages/queue.py
@@ -70,7 +70,7 @@
     _, _, where, zone, build, service = line.split("/")
     scopes = budgets.scopes(zone, build, service)
     load = max(loads.get(scope, 0) for scope in scopes)
-    return Head(int(key[len(line) + 1:][:16]), key, line, scopes, int(where == "in"), load, wait)
+    return Head(int(key[len(line) + 1 :][:16]), key, line, scopes, int(where == "in"), load, wait)
 
 
 def _loads(view: View, kind: Kind) -> dict[str, int]:
