--- a/brookreach/outages/releases.py
+++ b/brookreach/outages/releases.py
@@ -57,8 +57,17 @@
     if not budgets.count(draft, "node", "all").total or budgets.limit(draft, "node", "all") is None:
         raise Refusal("no node is known, or nodes have no budget for scope all: none could restart")
     release = ReleaseRow(
-        order.build, order.earlier, order.shares, order.caps, "on", 0, context.at_ms, order.wait_ms,
-        order.back_votes, order.on_votes, context.index,
+        order.build,
+        order.earlier,
+        order.shares,
+        order.caps,
+        "on",
+        0,
+        context.at_ms,
+        order.wait_ms,
+        order.back_votes,
+        order.on_votes,
+        context.index,
     )
     draft.put(PROGRESS, str(order.build), ProgressRow())
     _open(draft, context, release)
@@ -71,8 +80,7 @@
     _put(draft, release)
     progress = progress_of(draft, release.build)
     nodes = draws.share(release.shares[release.stage - 1], budgets.count(draft, "node", "all").total)
-    progress = structs.replace(
-        progress, target=max(nodes, progress.drawn), cursor=0, drawing=True, there_ms=0, on=0)
+    progress = structs.replace(progress, target=max(nodes, progress.drawn), cursor=0, drawing=True, there_ms=0, on=0)
     draft.put(PROGRESS, str(release.build), progress)
     draws.draw(draft, context, release.build)
     check(draft, context, release.build)
@@ -159,8 +167,7 @@
 
 def _back(draft: Draft, context: Context, release: ReleaseRow, reason: str) -> None:
     _put(draft, structs.replace(release, state="going back", since_ms=context.at_ms, reason=reason))
-    progress = structs.replace(
-        progress_of(draft, release.build), cursor=draws.BUCKETS, drawing=True, there_ms=0)
+    progress = structs.replace(progress_of(draft, release.build), cursor=draws.BUCKETS, drawing=True, there_ms=0)
     draft.put(PROGRESS, str(release.build), progress)
     draws.undraw(draft, context, release.build)
     check(draft, context, release.build)
--- a/brookreach/outages/rows.py
+++ b/brookreach/outages/rows.py
@@ -7,7 +7,14 @@
 from brookreach.fleet.piece import Row
 
 NODES, MARSHALS, PERMITS, HALT, RELEASES, BUDGETS, ASSIGNED = (
-    "nodes", "marshals", "permits", "halt", "releases", "budgets", "assigned")
+    "nodes",
+    "marshals",
+    "permits",
+    "halt",
+    "releases",
+    "budgets",
+    "assigned",
+)
 
 Standing = Literal["ready", "cold", "draining", "down", "gone"]
 
--- a/brookreach/outages/seen.py
+++ b/brookreach/outages/seen.py
@@ -36,8 +36,16 @@
     since_ms = old.since_ms if old and same_life and old.standing == standing else context.at_ms
     warm_ms = (old.warm_ms if old and same_life and old.warm_ms else context.at_ms) if order.warm else 0
     new = NodeRow(
-        order.zone, order.build, order.service, order.room, standing, since_ms, order.life, warm_ms,
-        old.retires_ms if old else 0, context.session,
+        order.zone,
+        order.build,
+        order.service,
+        order.room,
+        standing,
+        since_ms,
+        order.life,
+        warm_ms,
+        old.retires_ms if old else 0,
+        context.session,
     )
     if new != old:
         targets.lift(draft, "node", name)
--- a/brookreach/parts.py
+++ b/brookreach/parts.py
@@ -101,5 +101,11 @@
         self.entries, self.sums = [e for e, _ in able], list(accumulate(can for _, can in able))
 
     def draw(self, chance: random.Random, most: int) -> list[NodeEntry]:
-        return [self.entries[bisect(self.sums, chance.random() * self.sums[-1], 0, len(self.sums) - 1)]
-                for _ in range(most)] if self.entries else []
+        return (
+            [
+                self.entries[bisect(self.sums, chance.random() * self.sums[-1], 0, len(self.sums) - 1)]
+                for _ in range(most)
+            ]
+            if self.entries
+            else []
+        )
--- a/brookreach/power/choose.py
+++ b/brookreach/power/choose.py
@@ -62,8 +62,7 @@
 """Room by zone and slot, where a caller knows what is to come (notices, the course of a day)."""
 
 
-def choose(view: View, at_ms: int, job: Flexible, free: Mapping[str, int],
-           later: Later | None = None) -> Choice:
+def choose(view: View, at_ms: int, job: Flexible, free: Mapping[str, int], later: Later | None = None) -> Choice:
     """The cheapest way in grams that keeps the deadline, the room and the least stay.
 
     `free`: room by zone for flexible work in all; what the job itself and other work with reservations here
@@ -107,12 +106,14 @@
 class _Asked:
     """One question, in slots counted from the one under way."""
 
-    def __init__(self, view: View, at_ms: int, job: Flexible, free: Mapping[str, int],
-                 later: Later | None = None) -> None:
+    def __init__(
+        self, view: View, at_ms: int, job: Flexible, free: Mapping[str, int], later: Later | None = None
+    ) -> None:
         self.view, self.at_ms, self.job, self.free, self.later = view, at_ms, job, free, later
         self.slot = at_ms // SLOT_MS
-        self.zones = sorted((zone for zone in free if not job.zones or zone in job.zones),
-                            key=lambda zone: (zone != job.here, zone))
+        self.zones = sorted(
+            (zone for zone in free if not job.zones or zone in job.zones), key=lambda zone: (zone != job.here, zone)
+        )
         self.left = max(job.deadline_ms // SLOT_MS - SPARE - self.slot, 0)
         self.need = max(1, -(-job.work_ms // SLOT_MS))
         self.stay = max(1, min(-(-job.min_stay_ms // SLOT_MS), self.need))
@@ -169,8 +170,11 @@
 
     def planned(self, kept: tuple[tuple[str, int, int, int], ...]) -> Choice:
         spans = tuple((zone, first, end) for zone, first, end, _ in kept)
-        rows = [self.view.get(RESERVED, reserved_key(zone, slot, self.job.who))
-                for zone, first, end in spans for slot in range(first, end)]
+        rows = [
+            self.view.get(RESERVED, reserved_key(zone, slot, self.job.who))
+            for zone, first, end in spans
+            for slot in range(first, end)
+        ]
         return self.told(spans, sum(row.grams for row in rows) // len(rows), "as planned, ")
 
     def soonest(self, curve: curves.Curve, late: bool, why: str) -> Choice:
--- a/brookreach/power/curve.py
+++ b/brookreach/power/curve.py
@@ -122,8 +122,13 @@
             yield -1, f"zone {zone!r} has no rows"
         elif (first[zone], last[zone]) != (min(first.values()), max(last.values())):
             mine, whole = (first[zone], last[zone]), (min(first.values()), max(last.values()))
-            yield -1, (f"zone {zone!r} covers {told(mine[0])} to {told(mine[1])}; all have to cover "
-                       f"{told(whole[0])} to {told(whole[1])}")
+            yield (
+                -1,
+                (
+                    f"zone {zone!r} covers {told(mine[0])} to {told(mine[1])}; all have to cover "
+                    f"{told(whole[0])} to {told(whole[1])}"
+                ),
+            )
 
 
 def _misfit(zone: str, spans: Spans, nth: int, begun: int) -> str:
--- a/brookreach/power/orders.py
+++ b/brookreach/power/orders.py
@@ -69,7 +69,7 @@
     inside, seal = sorted(spans), digest(version, zones, spans)
     yield Begin(version, seal, zones, min(one[1] for one in inside), max(one[2] for one in inside))
     for part, at in enumerate(range(0, len(inside), MOST_PART_SPANS)):
-        yield Rows(version, part, tuple(inside[at:at + MOST_PART_SPANS]))
+        yield Rows(version, part, tuple(inside[at : at + MOST_PART_SPANS]))
     yield Commit(version, seal)
 
 
--- a/brookreach/power/piece.py
+++ b/brookreach/power/piece.py
@@ -41,8 +41,14 @@
     version = orders.VERSION
     orders: Any = orders.ORDERS
     tables: Mapping[str, type[Row]] = {
-        SCHEDULES: SpanRow, CURRENT: CurrentRow, DRAFTS: DraftRow, OFFERS: OfferRow, RESERVED: ReservedRow,
-        HOLDS: HoldRow, LOADS: LoadRow}
+        SCHEDULES: SpanRow,
+        CURRENT: CurrentRow,
+        DRAFTS: DraftRow,
+        OFFERS: OfferRow,
+        RESERVED: ReservedRow,
+        HOLDS: HoldRow,
+        LOADS: LoadRow,
+    }
 
     def apply(self, view: View, order: Any, context: Context) -> list[Put]:
         draft = Draft(view)
@@ -133,8 +139,11 @@
             raise Refusal(f"version {order.version} is being sent by {one.by}; drop it or take another")
         if one.by == context.by:  # one at a time, so that none are left behind
             _clear(draft, other)
-    draft.put(DRAFTS, key, DraftRow(order.digest, order.zones, order.from_ms, order.until_ms, 0, 0,
-                                    context.by, context.session))
+    draft.put(
+        DRAFTS,
+        key,
+        DraftRow(order.digest, order.zones, order.from_ms, order.until_ms, 0, 0, context.by, context.session),
+    )
 
 
 def _mine(view: View, version: int, context: Context) -> DraftRow:
@@ -158,18 +167,25 @@
             raise Refusal(f"zone {zone!r} is not one of version {order.version}: {', '.join(zones)}")
         key = f"{version_key(order.version)}/{zone}/{nth:05d}"
         draft.put(SCHEDULES, key, SpanRow(from_ms, to_ms, grams))
-    draft.put(DRAFTS, version_key(order.version), msgspec.structs.replace(
-        one, parts=one.parts + 1, spans=one.spans + len(order.spans)))
+    draft.put(
+        DRAFTS,
+        version_key(order.version),
+        msgspec.structs.replace(one, parts=one.parts + 1, spans=one.spans + len(order.spans)),
+    )
 
 
 def _commit(draft: Draft, order: orders.Commit, context: Context) -> None:
     one, old = _mine(draft, order.version, context), _newer(draft, order.version)
-    spans = [(key.split("/")[1], span.from_ms, span.to_ms, span.grams)
-             for key, span in draft.rows(SCHEDULES, version_key(order.version) + "/")]
+    spans = [
+        (key.split("/")[1], span.from_ms, span.to_ms, span.grams)
+        for key, span in draft.rows(SCHEDULES, version_key(order.version) + "/")
+    ]
     seal = digest(order.version, one.zones, spans)
     if not seal == one.digest == order.digest:
-        raise Refusal(f"version {order.version} is not whole: {len(spans)} rows of digest {seal[:12]}, "
-                      f"begun as {one.digest[:12]}, closed as {order.digest[:12]}")
+        raise Refusal(
+            f"version {order.version} is not whole: {len(spans)} rows of digest {seal[:12]}, "
+            f"begun as {one.digest[:12]}, closed as {order.digest[:12]}"
+        )
     for nth, flaw in flaws([zone for zone, _ in one.zones], spans):
         raise Refusal(f"version {order.version}{f', row {nth}' if nth >= 0 else ''}: {flaw}")
     if (min(span[1] for span in spans), max(span[2] for span in spans)) != (one.from_ms, one.until_ms):
@@ -187,8 +203,7 @@
         draft.put(OFFERS, zone, None)
     for zone, calls in one.zones:
         draft.put(OFFERS, zone, OfferRow(calls))
-    draft.put(CURRENT, "all", CurrentRow(order.version, seal, one.until_ms, context.index, context.by,
-                                         one.from_ms))
+    draft.put(CURRENT, "all", CurrentRow(order.version, seal, one.until_ms, context.index, context.by, one.from_ms))
 
 
 def _drop(draft: Draft, order: orders.Drop, context: Context) -> None:
--- a/brookreach/power/plan.py
+++ b/brookreach/power/plan.py
@@ -52,7 +52,7 @@
         """Of the work; the last slot only as far as it is needed. FAR where a slot is not usable."""
         whole = 0
         for run in runs:
-            for cost in self.costs[run.zone][run.first:run.end]:
+            for cost in self.costs[run.zone][run.first : run.end]:
                 if cost is None:
                     return FAR
                 whole += cost
@@ -150,8 +150,14 @@
     return _traced(idle, idle_by, runs_by, before, fresh, slots)
 
 
-def _traced(idle: list[int], idle_by: list[tuple[int, int]], runs_by: list[list[int]],
-            before: dict[tuple[int, int], tuple[int, int]], fresh: bool, slots: int) -> list[Run]:
+def _traced(
+    idle: list[int],
+    idle_by: list[tuple[int, int]],
+    runs_by: list[list[int]],
+    before: dict[tuple[int, int], tuple[int, int]],
+    fresh: bool,
+    slots: int,
+) -> list[Run]:
     if fresh and idle[slots] >= 0:
         return []
     runs: list[Run] = []
--- a/brookreach/power/reserve.py
+++ b/brookreach/power/reserve.py
@@ -32,8 +32,12 @@
     held: HoldRow | None = view.get(HOLDS, who)
     now = at_ms // SLOT_MS
     row = in_force(view, at_ms)
-    if (held is not None and from_slot(held.spans, now) == sized and held.session == session
-            and held.version == (row.version if row else 0)):
+    if (
+        held is not None
+        and from_slot(held.spans, now) == sized
+        and held.session == session
+        and held.version == (row.version if row else 0)
+    ):
         return []  # as it stands: a plan that is kept changes nothing
     return replace(view, at_ms, who, sized, session, calls=False)
 
--- a/brookreach/power/schedule.py
+++ b/brookreach/power/schedule.py
@@ -89,8 +89,11 @@
     if told.schedule.unit != UNIT:
         errors.append(f"{path}: schedule.unit: {told.schedule.unit!r}; {UNIT!r} is allowed")
     names = [one.name for one in told.zone]
-    errors += [f"{path}: zone[{nth}].name: {name!r} stands twice; each zone may stand once"
-               for nth, name in enumerate(names) if names.index(name) != nth]
+    errors += [
+        f"{path}: zone[{nth}].name: {name!r} stands twice; each zone may stand once"
+        for nth, name in enumerate(names)
+        if names.index(name) != nth
+    ]
     rows: list[Row] = []
     for name in told.schedule.csv:
         rows += _from_csv(path.parent / name, errors)
@@ -100,8 +103,7 @@
         errors.append(f"{path}: no rows; schedule.csv has to name files, or [[row]] to stand here")
     if not errors:  # of rows that are left out because they are wrong no gaps are told
         found = flaws(names, [row[1:] for row in rows])
-        errors = [f"{rows[nth][0] if nth >= 0 else path}: {flaw}"
-                  for nth, flaw in islice(found, MOST_ERRORS + 1)]
+        errors = [f"{rows[nth][0] if nth >= 0 else path}: {flaw}" for nth, flaw in islice(found, MOST_ERRORS + 1)]
     if errors:
         more = [f"{path}: and more"] if len(errors) > MOST_ERRORS else []
         raise BadFile(errors[:MOST_ERRORS] + more)
--- a/brookreach/verdict/chain.py
+++ b/brookreach/verdict/chain.py
@@ -32,9 +32,7 @@
     return [(failure_step(True, before, rise), share), (failure_step(False, before, rise), 1.0 - share)]
 
 
-def speed_steps(
-    work: float, spread: float, weight: float = 1.0, points: int = 41
-) -> list[tuple[float, float]]:
+def speed_steps(work: float, spread: float, weight: float = 1.0, points: int = 41) -> list[tuple[float, float]]:
     """The steps of a speed chart where the trial build takes `work` times as long; `spread`: of log times."""
     if not (work > 0.0 and spread > 0.0 and math.isfinite(work) and math.isfinite(spread)):
         raise ChainError(f"work {work!r} and spread {spread!r}: finite and above 0")
@@ -103,9 +101,7 @@
     low, high = (1e-9, 50.0) if mean < 0.0 else (-50.0, -1e-9)
 
     def excess(root: float) -> float:
-        return (
-            math.fsum(chance * math.exp(max(-700.0, min(700.0, root * size))) for size, chance in steps) - 1.0
-        )
+        return math.fsum(chance * math.exp(max(-700.0, min(700.0, root * size))) for size, chance in steps) - 1.0
 
     if mean == 0.0 or excess(low) * excess(high) > 0.0:
         return mean, 0.0
--- a/brookreach/verdict/plan.py
+++ b/brookreach/verdict/plan.py
@@ -90,9 +90,7 @@
         or not low <= value <= high
         or (open_low and value == low)
     ):
-        raise PlanError(
-            f"{name}: {value!r}; from {low:g}{' (not itself)' if open_low else ''} to {high:g} is allowed"
-        )
+        raise PlanError(f"{name}: {value!r}; from {low:g}{' (not itself)' if open_low else ''} to {high:g} is allowed")
 
 
 def check(start: ifc.Start, seen: Seen) -> None:
@@ -107,9 +105,7 @@
     for at, share in enumerate(start.rollout.stage_shares):
         _number(f"stage_shares[{at}]", share, 0.0, 1.0)
     if sorted(start.rollout.stage_shares) != list(start.rollout.stage_shares):
-        raise PlanError(
-            f"stage_shares: {start.rollout.stage_shares}; no stage may hold less than the one before"
-        )
+        raise PlanError(f"stage_shares: {start.rollout.stage_shares}; no stage may hold less than the one before")
     if max(start.rollout.stage_shares) == 0.0:
         raise PlanError("stage_shares: all are 0; a build that nobody gets can't be judged")
     for at, cap in enumerate(start.exposure.caps):
@@ -169,11 +165,7 @@
     curve = Chain.of(steps, threshold, 160).crossed(played)
     if played == count:
         return float(curve[-1])
-    rate = (
-        float(curve[-1] - curve[played // 2])
-        / max(1e-300, 1.0 - float(curve[played // 2]))
-        / (played - played // 2)
-    )
+    rate = float(curve[-1] - curve[played // 2]) / max(1e-300, 1.0 - float(curve[played // 2])) / (played - played // 2)
     return 1.0 - (1.0 - float(curve[-1])) * math.exp(-rate * (count - played))
 
 
@@ -223,9 +215,7 @@
     alarm = max(_crossed(steps, limit, own) for steps, own in charts)
     # The best chart's own time, in outcomes of the marshal over all methods.
     needed = min(
-        siegmund(steps, limit) * outcomes / max(1e-9, own)
-        if mean_and_root(steps)[0] > 0.0
-        else math.inf
+        siegmund(steps, limit) * outcomes / max(1e-9, own) if mean_and_root(steps)[0] > 0.0 else math.inf
         for steps, own in charts
     )
     miss = (1.0 - alarm) ** (start.place.marshals / max(1, start.voting.back_votes))
@@ -299,8 +289,7 @@
         out.append(f"{row.what} {row.size:g} can't be told apart: released in {row.miss:.2f} of waves, {how}")
     if judge.few:
         out.append(
-            "this marshal sees few: its own charts are backed by the platform's tallies, which this plan "
-            "leaves out"
+            "this marshal sees few: its own charts are backed by the platform's tallies, which this plan leaves out"
         )
     return out
 
@@ -337,7 +326,5 @@
             f"{row.what:16} {row.size:6.2f} {row.miss:9.4f} {row.outcomes:9.0f} {row.bound:7.0f}  "
             f"{'yes' if row.seen else 'NO'}"
         )
-    told = ", ".join(
-        f"{what} {'none' if size is None else format(size, 'g')}" for what, size in plan.least.items()
-    )
+    told = ", ".join(f"{what} {'none' if size is None else format(size, 'g')}" for what, size in plan.least.items())
     return "\n".join([*lines, "", f"least effect told apart: {told}", *plan.limits])
--- a/brookreach/verdict/record.py
+++ b/brookreach/verdict/record.py
@@ -71,9 +71,7 @@
 class Recorder:
     """Hears `(now, event or action)` of one marshal's life, in order; `waves` are its last builds."""
 
-    def __init__(
-        self, start: ifc.Start, name: str = "marshal", builds: int = BUILDS, notes: int = MOST_NOTES
-    ):
+    def __init__(self, start: ifc.Start, name: str = "marshal", builds: int = BUILDS, notes: int = MOST_NOTES):
         self.start, self.name, self.most = start, name, notes
         self.waves: deque[Wave] = deque(maxlen=builds)
         self.before: deque[Note] = deque(maxlen=BEFORE_NOTES)
@@ -93,9 +91,7 @@
                 self.rpcs[one.rpc] = one.method, one.cost_ms
             case ifc.Pick():
                 entry = self.now_at.get(one.node)
-                self.picks.setdefault(one.rpc, []).append(
-                    None if entry is None else Out(self._index(entry), now)
-                )
+                self.picks.setdefault(one.rpc, []).append(None if entry is None else Out(self._index(entry), now))
             case ifc.PickEnded():
                 self._ended(now, one)
             case ifc.RpcGone() | ifc.PushBack() | ifc.Abort():
@@ -157,9 +153,7 @@
             self.now_at = {}
         self.now_at |= {entry.node: entry for entry in one.entries}
         self.now_at = {n: entry for n, entry in self.now_at.items() if entry.state != ifc.NodeState.GONE}
-        ready = tuple(
-            self._index(entry) for entry in self.now_at.values() if entry.state == ifc.NodeState.READY
-        )
+        ready = tuple(self._index(entry) for entry in self.now_at.values() if entry.state == ifc.NodeState.READY)
         self._note(Note(now, "L", ready))
 
     def _told(self, now: float, news: ifc.RolloutNews) -> None:
@@ -191,9 +185,7 @@
                 self.at = {entry: at for at, entry in enumerate(self.entries)}
                 move = [msgspec.structs.replace(n, nodes=tuple(new[i] for i in n.nodes)) for n in self.before]
                 self.before = deque(move, maxlen=BEFORE_NOTES)
-                self.first = [
-                    msgspec.structs.replace(n, nodes=tuple(new[i] for i in n.nodes)) for n in self.first
-                ]
+                self.first = [msgspec.structs.replace(n, nodes=tuple(new[i] for i in n.nodes)) for n in self.first]
                 for outs in self.picks.values():
                     for out in outs:
                         if out is not None:
@@ -337,11 +329,7 @@
         for act in acts:
             if isinstance(act, ifc.Vote) and act.build == wave.build:
                 found.voted.append((note.now - offered, f"{act.verdict.name} stage {act.stage}"))
-            elif (
-                isinstance(act, ifc.LogLine)
-                and act.text.startswith(f"back {wave.build}:")
-                and not found.crossed
-            ):
+            elif isinstance(act, ifc.LogLine) and act.text.startswith(f"back {wave.build}:") and not found.crossed:
                 found.crossed, found.crossed_ms = act.text, note.now - offered
         acts.clear()
     found.threshold = judge.threshold
@@ -371,8 +359,7 @@
     else:
         lines.append("no chart has crossed")
     lines.append(
-        f"{'method':14} {'earlier':>8} {'failed':>7} {'mean ms':>8} | {'trial':>6} {'failed':>7} "
-        f"{'mean ms':>8}"
+        f"{'method':14} {'earlier':>8} {'failed':>7} {'mean ms':>8} | {'trial':>6} {'failed':>7} {'mean ms':>8}"
     )
     for name in sorted({*found.earlier, *found.trial}):
         old, new = found.earlier.get(name, Side()), found.trial.get(name, Side())
--- a/brookreach/xds/assign.py
+++ b/brookreach/xds/assign.py
@@ -229,9 +229,7 @@
     return most, on, each
 
 
-def trial_share(
-    method: ifc.Method, start: ifc.Start, news: ifc.RolloutNews | None, build: int, least: float
-) -> float:
+def trial_share(method: ifc.Method, start: ifc.Start, news: ifc.RolloutNews | None, build: int, least: float) -> float:
     """The share of one route that the build on trial may have before others' use is taken off."""
     if news is None or news.phase in (ifc.Phase.GOING_BACK, ifc.Phase.WITHDRAWN):
         return 0.0
@@ -271,9 +269,7 @@
     for build, nodes in sorted(builds.items()):
         name = cluster_name(build, build != 0)
         part = max((own.get(build, 0.0) for own in shares.values()), default=0.0) if build else 1.0
-        sets[build] = cluster_of(
-            name, nodes, seats, view.at_ms, start.guards, view.rate, total * part * cost / 1000.0
-        )
+        sets[build] = cluster_of(name, nodes, seats, view.at_ms, start.guards, view.rate, total * part * cost / 1000.0)
     earlier = sets.get(0, ClusterSet(EARLIER, ()))
     for method in start.methods:
         repeats, on, each = repeats_of(method, start.permits)
--- a/brookreach/xds/book.py
+++ b/brookreach/xds/book.py
@@ -101,9 +101,7 @@
         return self.shares.get(version, 1.0)
 
     def uses(self) -> dict[str, ProxyUse]:
-        return {
-            name: ProxyUse(proxy.rate, proxy.may_use(self.share_of)) for name, proxy in self.proxies.items()
-        }
+        return {name: ProxyUse(proxy.rate, proxy.may_use(self.share_of)) for name, proxy in self.proxies.items()}
 
     # --- the view ---
 
--- a/brookreach/xds/resources.py
+++ b/brookreach/xds/resources.py
@@ -127,9 +127,7 @@
         stat_prefix="brookreach", rds=hcm_pb2.Rds(config_source=_ads(), route_config_name=ROUTES)
     )
     manager.http_filters.add(name="envoy.filters.http.router", typed_config=_any(router_pb2.Router()))
-    return listener_pb2.Listener(
-        name=LISTENER, api_listener=api_listener_pb2.ApiListener(api_listener=_any(manager))
-    )
+    return listener_pb2.Listener(name=LISTENER, api_listener=api_listener_pb2.ApiListener(api_listener=_any(manager)))
 
 
 def digest(octets: bytes) -> str:
--- a/brookreach/xds/serve.py
+++ b/brookreach/xds/serve.py
@@ -79,9 +79,7 @@
             while len(self.kept) > MERGES:
                 self.kept.popitem(last=False)
         # Parts of a message that stand one after the other are one message.
-        part = (discovery_pb2.DeltaDiscoveryResponse if delta else discovery_pb2.DiscoveryResponse)(
-            nonce=answer.nonce
-        )
+        part = (discovery_pb2.DeltaDiscoveryResponse if delta else discovery_pb2.DiscoveryResponse)(nonce=answer.nonce)
         return body + part.SerializeToString()
 
     @staticmethod
@@ -112,8 +110,7 @@
         if not self.by_name:
             return True
         return any(
-            name in names
-            and any(node == one or (one.endswith("*") and node.startswith(one[:-1])) for one in nodes)
+            name in names and any(node == one or (one.endswith("*") and node.startswith(one[:-1])) for one in nodes)
             for name, nodes in self.by_name
         )
 
@@ -174,9 +171,7 @@
         """The node's id; raises Refused."""
         node = request.node.id
         if not node or len(node.encode()) > MOST_ID:
-            raise Refused(
-                "INVALID_ARGUMENT", f"node.id: {len(node.encode())} bytes; 1 to {MOST_ID} are allowed"
-            )
+            raise Refused("INVALID_ARGUMENT", f"node.id: {len(node.encode())} bytes; 1 to {MOST_ID} are allowed")
         if request.node.metadata.ByteSize() > MOST_META:
             raise Refused("INVALID_ARGUMENT", f"node.metadata: over {MOST_META} bytes")
         if not self.allowed.may(peer_names(context), node):
@@ -283,9 +278,7 @@
         )
     )
     try:
-        port = (
-            made.add_secure_port(address, credentials(keeper)) if keeper else made.add_insecure_port(address)
-        )
+        port = made.add_secure_port(address, credentials(keeper)) if keeper else made.add_insecure_port(address)
     except RuntimeError as error:
         raise OSError(f"can't listen on {address}: {error}") from None
     if port == 0:
--- a/brookreach/xds/service.py
+++ b/brookreach/xds/service.py
@@ -169,9 +169,7 @@
             self.say(line)
         if held is not None:
             view, seats = held
-            self.say(
-                f"serves the last view until discovery is heard: {len(view.nodes)} nodes, no build on trial"
-            )
+            self.say(f"serves the last view until discovery is heard: {len(view.nodes)} nodes, no build on trial")
             self.front.update(view, {seat.node: seat for seat in seats})
 
     def _save(self) -> None:
--- a/brookreach/xds/stream.py
+++ b/brookreach/xds/stream.py
@@ -240,9 +240,7 @@
             return True
         return not any(self.kinds[one].nonce for one in ORDER[: ORDER.index(url)] if one in self.kinds)
 
-    def _still_used(
-        self, url: str, kind: Kind, wanted: Mapping[str, Resource], snapshot: Snapshot
-    ) -> set[str]:
+    def _still_used(self, url: str, kind: Kind, wanted: Mapping[str, Resource], snapshot: Snapshot) -> set[str]:
         """Clusters that routes may still use: they stay until the newest routes are ACKed."""
         if url != CDS or RDS not in self.kinds:
             return set()
--- a/tests/peers_clients.py
+++ b/tests/peers_clients.py
@@ -153,18 +153,22 @@
 
     def hears(self, wanted):
         """Turns until exactly these bytes have come."""
+
         def whole():
             self.look()
             return len(self.heard) >= len(wanted) or self.over
+
         self.port.until(whole)
-        assert self.heard[:len(wanted)] == wanted, (self.heard[:400], self.over)
-        self.heard = self.heard[len(wanted):]
+        assert self.heard[: len(wanted)] == wanted, (self.heard[:400], self.over)
+        self.heard = self.heard[len(wanted) :]
 
     def ends(self):
         """How its connection ended, with what came before."""
+
         def over():
             self.look()
             return self.over
+
         self.port.until(over)
         return self.over, self.heard
 
--- a/tests/peers_nodes.py
+++ b/tests/peers_nodes.py
@@ -116,7 +116,7 @@
             self.read()
             self.start = len(self.data) >= 4 and len(self.data) >= int.from_bytes(self.data[:4], "big")
             if self.start:
-                self.data = self.data[int.from_bytes(self.data[:4], "big"):]
+                self.data = self.data[int.from_bytes(self.data[:4], "big") :]
         return self.start
 
     def queries(self):
@@ -125,7 +125,7 @@
         out, rest = [], self.data
         while len(rest) >= 5 and len(rest) > (length := int.from_bytes(rest[1:5], "big")):
             out.append(rest[5:length])
-            rest = rest[1 + length:]
+            rest = rest[1 + length :]
         return out
 
     def asked(self, count=1):
--- a/tests/test_endings_evicted.py
+++ b/tests/test_endings_evicted.py
@@ -81,7 +81,7 @@
         port, whole = self.port(), query(1)
         peer = port.ready_peer()
         for at in range(len(whole) - 1):
-            peer.send(whole[at:at + 1])
+            peer.send(whole[at : at + 1])
             port.until(lambda at=at: len(peer.client.inbound) == at + 1)
             port.home.half[peer.client] -= 2.5 / len(whole)
             port.home.silent[peer.client] -= 2.5 / len(whole)
@@ -96,7 +96,7 @@
         peer = port.peer(b"")
         port.until(lambda: peer.client)
         for at in range(len(whole) - 1):
-            peer.send(whole[at:at + 1])
+            peer.send(whole[at : at + 1])
             port.until(lambda at=at: len(peer.client.inbound) == at + 1)
             port.home.silent[peer.client] -= 2.5 / len(whole)
             port.home.sweep()
@@ -133,9 +133,11 @@
         while peer.client.rest:
             left = sum(len(part) for part in peer.client.rest)
             port.home.stalled[peer.client] -= 4.0  # of the 5 s
+
             def some(left=left):
                 peer.look()
                 return sum(len(part) for part in peer.client.rest) < left
+
             port.until(some)
             port.home.sweep()
         peer.hears(row(answer))
--- a/tests/test_endings_stop.py
+++ b/tests/test_endings_stop.py
@@ -14,10 +14,12 @@
 class LastCallTest(PortCase):
     def answered(self, port, count):
         """Answers whatever has been taken, until so many RPCs were."""
+
         def all_taken():
             for number in list(port.desk.slots):
                 port.desk.answer(number)
             return len(port.desk.taken) == count
+
         port.until(all_taken)
 
     def ends(self, port, peer, *numbers):
--- a/tests/test_endings_versions.py
+++ b/tests/test_endings_versions.py
@@ -18,6 +18,7 @@
 class VersionsTest(unittest.TestCase):
     def moved(self, story, **other):
         """`s1` was drained at version 5, `s3` had left by then; then another agent is asked."""
+
         async def run(tasks):
             old, new = await Peer().listen(tasks), await Peer().listen(tasks)
             town = Following(old.at, limits(**other))
--- a/tests/test_mutation_services.py
+++ b/tests/test_mutation_services.py
@@ -38,6 +38,7 @@
 class DiscoveryTest(unittest.TestCase):
     def lists(self, name, change, first=False, most=80):
         """A list or a change of it, spoilt in each way, as a watch's answer or as that of a `first` call."""
+
         async def story(town):
             member = MEMBER | {"host_port": town.at["node"]}
             members = [] if change is None else [member | change, member | {"id": "s-2"}]
@@ -48,6 +49,7 @@
                 exact = ", json: " in mutant.name or mutant.name.endswith(("single bytes", "of one byte"))
                 town.lists += [NOTHING, (mutant, text, exact)] if first else [(mutant, text, exact)]
             await until(lambda: not town.lists and town.name == "a good list")
+
         return played(story)
 
     def test_whole_lists(self):
@@ -83,6 +85,7 @@
                     wrong.append(f"{mutant.name}: ok, {came[0]} where it says {told}")
                 elif came[0].ending not in (ifc.Ending.OK, ifc.Ending.TIMEOUT, ifc.Ending.ERROR):
                     wrong.append(f"{mutant.name}: {came[0].ending.name}, and it may have counted")
+
         self.assertEqual(played(story) + wrong, [])
 
     def test_feeds(self):
@@ -101,11 +104,12 @@
             town.parts.platform.feeding.cancel()  # the good one that stands
             await until(lambda: town.fed > len(town.feeds))
             for at, lines in enumerate(texts, begun):
-                told = [heard(one) for one in town.said[town.marks[at]:town.marks[at + 1]]]
+                told = [heard(one) for one in town.said[town.marks[at] : town.marks[at + 1]]]
                 read = [line(one) for one in lines]
-                whole = read[:read.index(None)] if None in read else read
+                whole = read[: read.index(None)] if None in read else read
                 if told != [one for one in whole if one]:
                     wrong.append(f"{lines}: told {told}")
+
         self.assertEqual(played(story) + wrong, [])
 
 
--- a/tests/test_net_nodes.py
+++ b/tests/test_net_nodes.py
@@ -13,6 +13,7 @@
             client = await town.client()
             await town.answer(client)
             await town.ask(client, *asked)
+
         trace = []
         for asked in [(word, method) for word in [*REPLIES, "reset"] for method in ("look", "book")]:
             trace += played(partial(story, asked))
@@ -26,6 +27,7 @@
             town.trace.append("the node takes the connection and never welcomes it: nothing was written")
             await town.ask(client, "row", "book")
             town.trace.append(f"  queries written: {len(town.node.heard)}")
+
         self.compare("never_up", played(story))
 
     def test_time_and_leaving(self):
@@ -44,6 +46,7 @@
             await until(lambda: len(town.node.heard) == 2)
             await other[0].aclose()
             await until(lambda: "TIMEOUT, final" in town.trace[-1])
+
         self.compare("leaving", played(story))
 
     def test_stale_idle_and_drain(self):
@@ -63,6 +66,7 @@
             await until(lambda: nodes.links == 0)
             await town.ask(client, "row")
             town.trace.append(f"  queries written: {len(town.node.heard)}")
+
         self.compare("stale", played(story))
 
     def test_listing_changes_while_connecting(self):
@@ -82,4 +86,5 @@
             await until(lambda: any("MOOT" in line for line in town.trace))
             town.trace.append(f"  queries written: {len(town.node.heard)}")
             town.trace = [line for line in town.trace if "NO_CONNECT" not in line][:2]
+
         self.compare("cap_fell", played(story))
--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -142,7 +142,7 @@
             self.back(node, build=2)
         back = self.restarts()
         self.assertEqual(sorted(back), sorted(in_flight + order))
-        self.assertEqual(sorted(back[-len(order):-2]), sorted(order[2:]))  # the last stage's first, then the second's
+        self.assertEqual(sorted(back[-len(order) : -2]), sorted(order[2:]))  # the last stage's first, then the second's
         self.assertEqual((self.release().state, self.on(2)), ("sent back", []))
         self.assertIn("never returns", self.begin())
         self.assertIn("earlier build 2 is sent back", self.begin(build=3, earlier=2))
