--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -44,7 +44,7 @@
             self.assertEqual([record[0] for record in records], [name])
             layout = next(one for one in frames.EVENTS.values() if one.name == name)
             fields = records[0][1][:-1] if layout.tail else records[0][1]
-            self.assertEqual(data[2:2 + layout.fixed.size], layout.fixed.pack(*fields))
+            self.assertEqual(data[2 : 2 + layout.fixed.size], layout.fixed.pack(*fields))
         for text, record in ACTIONS.items():
             self.assertEqual(frames.encode([record]), bytes.fromhex(text))
 
