--- a/Makefile
+++ b/Makefile
@@ -39,6 +39,7 @@
 
 lint: .venv/tools
 	$(PY) -m ruff check brookreach tests
+	$(PY) -m ruff format --check brookreach tests
 	$(PY) -m mypy
 
 # One real marshal; PROXY_CONFIG names its configuration.
