--- a/brookreach/__main__.py
+++ b/brookreach/__main__.py
@@ -14,7 +14,6 @@
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
 import gc
-import json
 import os
 import random
 import traceback
@@ -26,6 +25,7 @@
 
 from brookreach import facts
 from brookreach import interface as ifc
+from brookreach.configuration import BadStart, address_from, configuration, seed_from
 from brookreach.net.clients import Clients
 from brookreach.net.discovery import BAD_JSON, Discovery
 from brookreach.net.driver import Clock, Driver
@@ -33,48 +33,7 @@
 from brookreach.net.platform import PHASES, Platform, news_from
 from brookreach.net.report import Report, Writers
 from brookreach.net.stream import Poller, address
-
-
-class BadStart(Exception):
-    """Why the marshal can't start, in one line."""
-
-
-def configuration(environment: Mapping[str, str]) -> dict[str, Any]:
-    path = environment.get("PROXY_CONFIG")
-    if not path:
-        raise BadStart("PROXY_CONFIG is not set")
-    told = object_at(path, "PROXY_CONFIG")
-    for name in ("name", "listen", "discovery"):  # the environment says them too
-        told.setdefault(name, environment.get(f"PROXY_{name.upper()}"))
-    return told
-
-
-def object_at(path: str, named: str) -> dict[str, Any]:
-    """The JSON object in a file; `named` is where its path was told. Raises BadStart."""
-    try:
-        with open(path, "rb") as file:
-            told = json.load(file)
-    except OSError as error:
-        raise BadStart(f"{named} can't be read: {error}") from None
-    except (ValueError, RecursionError) as error:
-        raise BadStart(f"{path} is not JSON: {error}") from None
-    if not isinstance(told, dict):
-        raise BadStart(f"{path} holds no object")
-    return told
-
-
-def address_from(told: facts.Told, key: str) -> tuple[str, int]:
-    try:
-        return address(told.text(key))
-    except ValueError:
-        raise told.wrong(key, "an address with a port") from None
-
-
-def seed_from(told: facts.Told) -> int:
-    try:
-        return int(str(told.value("seed")), 16)
-    except ValueError:
-        raise told.wrong("seed", "a hexadecimal number") from None
+from brookreach.settings_reader import SettingsError, SettingsObject
 
 
 class Beside(Protocol):
@@ -92,7 +51,7 @@
 
     def __init__(self, told: Mapping[str, Any], lines: Writers | None = None):
         try:
-            top = facts.Told(told, "configuration")
+            top = SettingsObject(told, "configuration")
             deployer, known, settings = top.object("deployer"), top.object("known"), top.object("settings")
             start = facts.start_from(seed_from(top), settings.values)
             self.limits: Limits = limits_from(top.value("limits"), settings.values)
@@ -124,7 +83,7 @@
             self.driver.begin()
             known.count("revision"), known.flag("complete"), [m.text("id") for m in known.objects("members")]
             self.discovery.read(known.values, cached=True)
-        except facts.FactsError as error:
+        except SettingsError as error:
             raise BadStart(str(error)) from None
         except BAD_JSON as error:
             raise BadStart(f"configuration.known: {type(error).__name__} {error}") from None
--- a/brookreach/benchlink/words.py
+++ b/brookreach/benchlink/words.py
@@ -9,6 +9,7 @@
 from brookreach import facts
 from brookreach import interface as ifc
 from brookreach.facts import to_ms
+from brookreach.settings_reader import SettingsError
 
 from .frames import WireError
 
@@ -35,7 +36,7 @@
 def start_from(seed: int, text: bytes) -> ifc.Start:
     try:
         return facts.start_from(seed, json.loads(text))
-    except facts.FactsError as error:
+    except SettingsError as error:
         raise WireError(str(error)) from None
     except ValueError as error:
         raise WireError(f"settings are not JSON: {error}") from None
--- a/brookreach/cli/fleet.py
+++ b/brookreach/cli/fleet.py
@@ -99,7 +99,7 @@
 
     import anyio
 
-    from brookreach.__main__ import BadStart, object_at
+    from brookreach.configuration import BadStart, object_at
     from brookreach.outages.agent import nodes_of, play
 
     try:
--- a/brookreach/cli/site.py
+++ b/brookreach/cli/site.py
@@ -14,7 +14,7 @@
     """Play the nodes, discovery and the platform of CONFIG until Ctrl-C, so that a marshal can be tried."""
     import anyio
 
-    from brookreach.__main__ import BadStart, object_at
+    from brookreach.configuration import BadStart, object_at
     from brookreach.drills.stand import Site
 
     async def play(played: Site) -> None:
--- a/brookreach/cli/xds.py
+++ b/brookreach/cli/xds.py
@@ -20,8 +20,8 @@
     """Serve ADS as FILE (TOML) says, until SIGTERM; SIGHUP reads it again."""
     import anyio
 
-    from brookreach.__main__ import BadStart
     from brookreach.cli.structured import writer
+    from brookreach.configuration import BadStart
     from brookreach.files import BadFile
     from brookreach.tls.pair import PairError
     from brookreach.xds.config import read
--- a/brookreach/net/limits.py
+++ b/brookreach/net/limits.py
@@ -11,7 +11,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-from brookreach.facts import LISTS_ON_REQUEST, FactsError, Told
+from brookreach.facts import LISTS_ON_REQUEST
+from brookreach.settings_reader import SettingsError, SettingsObject
 
 KIB, MOST_MB = 1024, 1e9
 
@@ -66,8 +67,8 @@
 
 
 def limits_from(limits: Mapping[str, Any], told: Mapping[str, Any]) -> Limits:
-    """`limits` as the configuration words them, `told` the settings. Raises FactsError."""
-    settings, given = Told(told, "settings"), Told(limits, "limits")
+    """`limits` as the configuration words them, `told` the settings. Raises SettingsError."""
+    settings, given = SettingsObject(told, "settings"), SettingsObject(limits, "limits")
     allowed, sockets = settings.object("allowed"), given.count("sockets")
     longest = max([one.ms("hardLimitUs") for one in settings.objects("classes")], default=0.0) / 1000.0
     # A connection costs a descriptor and, at rest, some 4 KiB; a quarter of the memory is for these, a
@@ -76,7 +77,7 @@
     memory = int(given.number("memory_mb", MOST_MB) * 1024 * KIB)
     room = min(sockets - 24, memory // 4 // (8 * KIB))
     if room < 16:
-        raise FactsError(
+        raise SettingsError(
             f"limits.sockets {sockets} or limits.memory_mb {memory / KIB / KIB:g} leave no room for connections"
         )
     # One service answers all marshals in turn and may take 2 s for it: who leaves the queue before that
--- a/brookreach/xds/service.py
+++ b/brookreach/xds/service.py
@@ -9,7 +9,8 @@
 
 import anyio
 
-from brookreach.__main__ import Parts, object_at
+from brookreach.__main__ import Parts
+from brookreach.configuration import object_at
 from brookreach.files import BadFile
 from brookreach.net.link import Listed
 from brookreach.net.report import Writers
--- a/tests/test_bad_configuration.py
+++ b/tests/test_bad_configuration.py
@@ -6,7 +6,8 @@
 import unittest
 from pathlib import Path
 
-from brookreach.__main__ import BadStart, Parts
+from brookreach.__main__ import Parts
+from brookreach.configuration import BadStart
 
 GOOD = json.loads((Path(__file__).parent.parent / "deploy" / "marshal.json").read_text())
 MISSING = object()
