--- a/brookreach/fleet/client.py
+++ b/brookreach/fleet/client.py
@@ -18,14 +18,14 @@
 from brookreach.fleet.piece import Order, Row
 from brookreach.fleet.seams import Timing
 from brookreach.fleet.seek import Seek
+from brookreach.fleet.session_holder import NotHeld as NotHeld
+from brookreach.fleet.session_holder import SessionHolder
 from brookreach.fleet.watching import Watching
 
 
-class NotHeld(Exception):
-    """There is no session whose lease holds: nothing may be done in its name."""
+class Client(SessionHolder):
+    """One process's session with the group; without I/O, time and chance handed in."""
 
-
-class Client:
     def __init__(
         self,
         name: str,
@@ -38,12 +38,13 @@
         version: int = 1,
         most_asks: int = MOST_ASKS,
     ):
-        self.name, self.kind, self.version = name, kind, version
+        super().__init__(name, Lease(timing, chance))
+        self.kind, self.version = kind, version
         self.mirror = Mirror(tables, tables if watched is None else watched)
         self.refusals: Counter[str] = Counter()
         self.keeper = ""  # whom it talks to; a connection to any other may be closed
         self.joined = False
-        self._timing, self._lease = timing, Lease(timing, chance)
+        self._timing = timing
         self._asks, self._seek = Asks(timing, chance, most_asks), Seek(keepers, timing, chance)
         self._watching = Watching(self.mirror, timing, chance, self.refusals)
         self._answer_by: float | None = None  # to a Join or Renew, else another keeper is tried
@@ -53,23 +54,6 @@
 
     # --- what its owner asks ---
 
-    @property
-    def session(self) -> int:
-        return self._lease.session
-
-    def holds(self, now: float) -> bool:
-        """By a clock that is read now, and not before something that may have taken long."""
-        return self._lease.holds(now)
-
-    def fence(self, now: float) -> int | None:
-        return self._lease.session if self._lease.holds(now) else None
-
-    def guard(self, now: float) -> int:
-        """The fence to act with; raises NotHeld."""
-        if (fence := self.fence(now)) is None:
-            raise NotHeld(f"{self.name} holds no session at {now:.0f} ms of its clock")
-        return fence
-
     def ask(self, now: float, piece: str, order: Order, version: int = 1) -> int:
         """Its number, which an Answered or Unknown will bear; raises TooMany, and then nothing was taken."""
         self._expire(now)
--- a/brookreach/fleet/lead.py
+++ b/brookreach/fleet/lead.py
@@ -14,16 +14,16 @@
 from functools import partial
 
 from brookreach.fleet import sessions, words
-from brookreach.fleet.agreed import AgreedTime
 from brookreach.fleet.flights import Flights, Flying, Say, Wrong, moved, rows_of, sorry
 from brookreach.fleet.machine import Machine
 from brookreach.fleet.raft import Raft
 from brookreach.fleet.seams import Applied, Timing
 from brookreach.fleet.sessions import ANSWERS, SEATS, SESSIONS
+from brookreach.fleet.term import Term
 from brookreach.fleet.watch import Watches
 
 
-class Lead:
+class Lead(Term):
     """`keepers` are those that the file names: a seat is for one of them."""
 
     def __init__(
@@ -36,45 +36,13 @@
         keepers: Sequence[str],
         say: Say,
     ):
-        self.raft, self.machine, self.watches, self.timing = raft, machine, watches, timing
+        super().__init__(now, raft, machine, timing)
+        self.watches = watches
         self.keepers, self.say, self.sorry = keepers, say, partial(sorry, say)
-        self.term = raft.term
-        self.clock = AgreedTime(now, raft.wall_ms_low_median)
-        self.open = False  # all entries of earlier terms are applied
-        self.leases = sessions.Leases(timing)
         self.here: dict[str, int] = {}  # sessions by clients that joined on their present connection
         self.flights = Flights()
         self.asked: list[tuple[str, words.Body]] = []  # until the next round
         self.round, self.in_round = 0, list[tuple[str, words.Body]]()
-        self.passing = 0  # where a Passed stands that is not yet applied
-        self.again_at = now  # no Passed before
-
-    # --- time ---
-
-    def _open(self, now: float) -> None:
-        self.clock.no_less(now, self.machine.at_ms)
-        self.leases.adopt(now, self.machine.sessions())
-        self.open = True
-
-    def passed(self, now: float) -> None:
-        if not self.open:
-            return
-        for session in self.leases.ended(now):
-            self._propose(now, sessions.Ended(session, "its lease ran out"))  # else it is named again
-        due = self.machine.due_ms()
-        if due is not None and not self.passing and now >= self.again_at and due <= self.clock.at(now):
-            self.passing = self._propose(now, sessions.Passed()) or 0
-            self.again_at = now if self.passing else now + self.timing.beat_ms
-
-    def wake_ms(self) -> float | None:
-        if not self.open:
-            return None
-        due = None if self.passing else self.machine.due_ms()
-        times = (self.leases.wake_ms(), None if due is None else max(self.again_at, self.clock.when(due)))
-        return min((one for one in times if one is not None), default=None)
-
-    def _propose(self, now: float, order: sessions.Began | sessions.Ended | sessions.Passed) -> int | None:
-        return self.raft.propose(now, sessions.ordered(order, self.clock.at(now)))
 
     # --- what is heard ---
 
--- a/brookreach/fleet/words.py
+++ b/brookreach/fleet/words.py
@@ -228,25 +228,7 @@
 ASKED = (Join, Ask, Read, Renew, Watch, Leave)
 TOLD = (Joined, Done, Rows, Renewed, Changes, Whole, Sorry)
 TABLE = KEEPERS + ASKED + TOLD
-Body = (
-    AskVote
-    | Vote
-    | Append
-    | Appended
-    | Part
-    | PartGot
-    | HandOver
-    | Join
-    | Ask
-    | Read
-    | Renew
-    | Watch
-    | Leave
-    | Joined
-    | Done
-    | Rows
-    | Renewed
-    | Changes
-    | Whole
-    | Sorry
-)
+FromKeeper = AskVote | Vote | Append | Appended | Part | PartGot | HandOver
+FromClient = Join | Ask | Read | Renew | Watch | Leave
+ToClient = Joined | Done | Rows | Renewed | Changes | Whole | Sorry
+Body = FromKeeper | FromClient | ToClient
