--- a/brookreach/cli/files.py
+++ b/brookreach/cli/files.py
@@ -17,7 +17,7 @@
 from brookreach.files import MOST_SEALED, BadFile, checked, read_bounded, read_toml
 from brookreach.model.case import NAMES, Case, start_of
 from brookreach.settings_reader import SettingsError
-from brookreach.verdict import plan, record
+from brookreach.verdict import notes, plan
 
 
 class StatedPart(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -153,15 +153,15 @@
     return start, seen, [(one.what, one.size) for one in told.effect]
 
 
-def read_record(file: Path) -> list[record.Wave]:
+def read_record(file: Path) -> list[notes.Wave]:
     """Raises BadFile."""
     return _waves(file, read_bounded(file, MOST_SEALED))
 
 
-def _waves(file: Path, octets: bytes) -> list[record.Wave]:
+def _waves(file: Path, octets: bytes) -> list[notes.Wave]:
     try:
-        return record.decode(octets)
-    except record.RecordError as error:
+        return notes.decode(octets)
+    except notes.RecordError as error:
         raise BadFile([f"{file}: {error}"]) from None
 
 
@@ -189,7 +189,7 @@
         facts_of(file, told)
         return "a plan of a wave", msgspec.to_builtins(told)
     octets = read_bounded(file, MOST_SEALED)
-    if octets.startswith(record.MAGIC):
+    if octets.startswith(notes.MAGIC):
         waves = _waves(file, octets)
         return "a record of waves", {
             "builds": [wave.build for wave in waves],
--- a/brookreach/cli/plot.py
+++ b/brookreach/cli/plot.py
@@ -54,9 +54,9 @@
 def levels(record: Path, to: Path, build: int | None) -> None:
     """The charts of a recorded build by time."""
     from brookreach.model import figures
-    from brookreach.verdict import record as records
+    from brookreach.verdict import replay as replays
 
-    _save(figures.levels(records.replay(waves_of(record, build)[-1])), to)
+    _save(figures.levels(replays.replay(waves_of(record, build)[-1])), to)
 
 
 @plot.command()
--- a/brookreach/cli/verdict.py
+++ b/brookreach/cli/verdict.py
@@ -65,11 +65,11 @@
 @click.option("--json", "as_json", is_flag=True, help="Print one object.")
 def show(file: Path, build: int | None, as_json: bool) -> None:
     """Why each build in the record FILE went on or back."""
-    from brookreach.verdict import record
+    from brookreach.verdict import replay
 
-    found = [record.replay(wave) for wave in waves_of(file, build)]
+    found = [replay.replay(wave) for wave in waves_of(file, build)]
     out(
-        as_json, {"builds": [record.told(one) for one in found]}, lambda: "\n\n".join(record.show(one) for one in found)
+        as_json, {"builds": [replay.told(one) for one in found]}, lambda: "\n\n".join(replay.show(one) for one in found)
     )
 
 
@@ -81,21 +81,21 @@
 @click.option("--json", "as_json", is_flag=True, help="Print one object.")
 def replay(file: Path, build: int | None, false_alarm: float | None, miss: float | None, as_json: bool) -> None:
     """Judge the record FILE again under other stated rates; the news stay as they came."""
-    from brookreach.verdict import record
+    from brookreach.verdict import replay
 
     pairs = []
     for wave in waves_of(file, build):
         old = wave.start.stated
         stated = ifc.Stated(old.false_alarm if false_alarm is None else false_alarm, old.miss if miss is None else miss)
-        pairs.append((record.replay(wave), record.replay(wave, stated), stated))
+        pairs.append((replay.replay(wave), replay.replay(wave, stated), stated))
 
     def lines() -> str:
         return "\n\n".join(
-            f"as it was:\n{record.show(was)}\n\n"
+            f"as it was:\n{replay.show(was)}\n\n"
             f"with false alarm {stated.false_alarm:g}, miss {stated.miss:g}:\n"
-            f"{record.show(now)}"
+            f"{replay.show(now)}"
             for was, now, stated in pairs
         )
 
-    told = [{"was": record.told(was), "now": record.told(now)} for was, now, _ in pairs]
+    told = [{"was": replay.told(was), "now": replay.told(now)} for was, now, _ in pairs]
     out(as_json, {"builds": told}, lines)
--- a/brookreach/verdict/keep.py
+++ b/brookreach/verdict/keep.py
@@ -11,7 +11,8 @@
 
 from brookreach import interface as ifc
 from brookreach.files import replace_file
-from brookreach.verdict.record import Recorder, encode
+from brookreach.verdict.notes import encode
+from brookreach.verdict.record import Recorder
 
 
 class Keeper:
--- a/brookreach/verdict/plan.py
+++ b/brookreach/verdict/plan.py
@@ -10,120 +10,19 @@
 import math
 from collections import deque
 from collections.abc import Sequence
-from dataclasses import asdict, dataclass, replace
-from typing import Any
+from dataclasses import replace
 
 from brookreach import interface as ifc
 from brookreach.judge import FLOOR, RISE, WARM_UP_MS, Judge
 from brookreach.verdict.chain import Chain, failure_steps, mean_and_root, siegmund, speed_steps
+from brookreach.verdict.plan_records import Effect, Plan, PlanError, Seen, Stage, check, check_number
 
-MOST_MARSHALS, MOST_METHODS, MOST_STAGES = 100_000, 1000, 100
 MOST_OUTCOMES = 20_000  # of one marshal in one wave, past which the chance of crossing is carried on evenly
 BOOT_MS = 2000.0  # a machine's start, as planned; what takes longer only delays
 RISES = (0.02, 0.03, 0.04, 0.05, 0.06, 0.08, 0.10, 0.12, 0.15, 0.20, 0.25, 0.30, 0.36, 0.45, 0.60, 0.80)
 WORKS = (1.2, 1.3, 1.4, 1.5, 1.6, 1.8, 2.0, 2.5, 3.0, 4.0)
 
 
-class PlanError(ValueError):
-    """Facts that no wave can have; the text names the field, what it holds and what is allowed."""
-
-
-@dataclass(frozen=True)
-class Seen:
-    """What a marshal sees of the earlier build before a wave."""
-
-    rpcs_per_s: float  # of one marshal
-    shares: tuple[float, ...]  # of the methods, adding up to 1
-    failures: tuple[float, ...]  # of each method on the earlier build
-    spread: float = 0.6  # of log times
-    alike: float = 0.05  # how alike times of one node are
-
-
-@dataclass(frozen=True)
-class Stage:
-    """One stage as planned: its share, its time, what one marshal sees of the build in it."""
-
-    share: float
-    least_ms: float
-    most_ms: float
-    outcomes: float
-
-
-@dataclass(frozen=True)
-class Effect:
-    """One way in which a build can be bad, and what becomes of it."""
-
-    what: str
-    size: float
-    miss: float  # chance that it is released
-    outcomes: float  # of one marshal, expected to the alarm of its best chart
-    bound: float  # the least that any test with this false alarm would need (Lorden)
-    seen: bool  # within the stated miss
-
-
-@dataclass(frozen=True)
-class Plan:
-    """All that is promised of one wave."""
-
-    stated: ifc.Stated
-    marshals: int
-    threshold: float
-    failing_threshold: float
-    tally_threshold: float
-    rise: float
-    trust: float
-    stages: tuple[Stage, ...]
-    false_alarm: float
-    false_alarm_bound: float
-    effects: tuple[Effect, ...]
-    least: dict[str, float | None]
-    limits: tuple[str, ...]
-
-    def told(self) -> dict[str, Any]:
-        """As plain values, for JSON."""
-        return asdict(self)
-
-
-def _number(name: str, value: float, low: float, high: float, open_low: bool = False) -> None:
-    if (
-        not (isinstance(value, int | float) and math.isfinite(value))
-        or not low <= value <= high
-        or (open_low and value == low)
-    ):
-        raise PlanError(f"{name}: {value!r}; from {low:g}{' (not itself)' if open_low else ''} to {high:g} is allowed")
-
-
-def check(start: ifc.Start, seen: Seen) -> None:
-    """Raises PlanError at the first fact that no wave can have."""
-    if not 1 <= len(start.methods) <= MOST_METHODS:
-        raise PlanError(f"methods: {len(start.methods)}; 1 to {MOST_METHODS} are allowed")
-    _number("marshals", start.place.marshals, 1, MOST_MARSHALS)
-    _number("stated.false_alarm", start.stated.false_alarm, 0.0, 0.5, True)
-    _number("stated.miss", start.stated.miss, 0.0, 0.5, True)
-    if not 1 <= len(start.rollout.stage_shares) <= MOST_STAGES:
-        raise PlanError(f"stage_shares: {len(start.rollout.stage_shares)}; 1 to {MOST_STAGES} are allowed")
-    for at, share in enumerate(start.rollout.stage_shares):
-        _number(f"stage_shares[{at}]", share, 0.0, 1.0)
-    if sorted(start.rollout.stage_shares) != list(start.rollout.stage_shares):
-        raise PlanError(f"stage_shares: {start.rollout.stage_shares}; no stage may hold less than the one before")
-    if max(start.rollout.stage_shares) == 0.0:
-        raise PlanError("stage_shares: all are 0; a build that nobody gets can't be judged")
-    for at, cap in enumerate(start.exposure.caps):
-        _number(f"caps[{at}]", cap, 0.0, 1.0)
-    _number("prices.delay", start.prices.delay, 0.0, 1e6)
-    _number("prices.harm", start.prices.harm, 0.0, 1e6)
-    _number("rpcs_per_s", seen.rpcs_per_s, 0.0, 1e7, True)
-    _number("spread", seen.spread, 0.0, 10.0, True)
-    _number("alike", seen.alike, 0.0, 0.8)
-    for name, values in (("shares", seen.shares), ("failures", seen.failures)):
-        if len(values) != len(start.methods):
-            raise PlanError(f"{name}: {len(values)} values for {len(start.methods)} methods")
-        for at, value in enumerate(values):
-            _number(f"{name}[{at}]", value, 0.0, 1.0)
-    if abs(math.fsum(seen.shares) - 1.0) > 1e-3:
-        raise PlanError(f"shares: they add up to {math.fsum(seen.shares):.4g}; 1 is needed")
-
-
 def judge_of(start: ifc.Start, seen: Seen) -> Judge:
     """The judge whose thresholds the wave will have."""
     judge = Judge(deque(), [], start)
@@ -241,7 +140,7 @@
     for what, size in effects:
         if what not in known:
             raise PlanError(f"effect {what!r}: one of {', '.join(known)} is allowed")
-        _number(f"effect {what}", size, 0.0, 100.0 if what == "work" else 1.0, True)
+        check_number(f"effect {what}", size, 0.0, 100.0 if what == "work" else 1.0, True)
     least = {what: least_of(start, judge, seen, outcomes, what) for what in known}
     wanted = list(effects) or [("all", 0.08), ("all", 0.20), *((name, 0.15) for name in names), ("work", 1.6)]
     rows = tuple(effect_of(start, judge, seen, outcomes, what, size) for what, size in wanted)
