--- a/brookreach/xds/book.py
+++ b/brookreach/xds/book.py
@@ -14,8 +14,9 @@
 
 from brookreach import interface as ifc
 from brookreach.xds import assign, resources
-from brookreach.xds.assign import Assignment, ClusterSet, ProxyUse, Seat, View
-from brookreach.xds.stream import RDS, Answer, Limits, Session, Snapshot
+from brookreach.xds.messages import RDS, Answer, Limits, Snapshot
+from brookreach.xds.records import Assignment, ClusterSet, ProxyUse, Seat, View
+from brookreach.xds.stream import Session
 
 
 @dataclass
--- /dev/null
+++ b/brookreach/xds/records.py
@@ -0,0 +1,89 @@
+"""The records that assignments are made from and of: nodes as seen, endpoints, clusters, routes, uses of proxies."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from brookreach import interface as ifc
+
+
+@dataclass(frozen=True)
+class Seat:
+    """Where a node listens, by its id as discovery gives it."""
+
+    node: int
+    address: str
+    port: int
+
+
+@dataclass(frozen=True)
+class NodeView:
+    """One node as the module sees it. `doubt` is 0 (well) to 1 (shunned); `slow` its time over the usual."""
+
+    entry: ifc.NodeEntry
+    doubt: float
+    slow: float
+
+
+@dataclass(frozen=True)
+class View:
+    """What the module decides at one time."""
+
+    at_ms: float
+    news: ifc.RolloutNews | None
+    nodes: tuple[NodeView, ...]
+    rate: float = 0.0  # cost a ms and unit of size that warm nodes are seen to carry
+    fresh: bool = True  # False: from a snapshot, discovery is gone
+
+
+@dataclass(frozen=True)
+class Endpoint:
+    """One line of an assignment."""
+
+    node: int
+    address: str
+    port: int
+    zone: int
+    weight: int  # 1 to 1000
+    sick: bool
+
+
+@dataclass(frozen=True)
+class ClusterSet:
+    """The endpoints of one build; `shed` is the share of RPCs that the cluster must refuse by itself."""
+
+    name: str
+    endpoints: tuple[Endpoint, ...]
+    shed: float = 0.0
+
+
+@dataclass(frozen=True)
+class RouteSet:
+    """One method's route: shares of clusters in millionths, adding up to a million, and what may be
+    repeated.
+    """
+
+    method: str
+    clusters: tuple[tuple[str, int], ...]
+    timeout_ms: float
+    pick_ms: float
+    repeats: int  # picks after the first
+    repeat_on: tuple[str, ...]
+
+
+@dataclass(frozen=True)
+class Assignment:
+    """All that one proxy is told. Two servers with the same view and facts make the same."""
+
+    clusters: tuple[ClusterSet, ...]
+    routes: tuple[RouteSet, ...]
+
+
+@dataclass(frozen=True)
+class ProxyUse:
+    """What is known of one proxy: RPCs a second by its reports, and the trial shares that it may still
+    use.
+    """
+
+    rpcs_per_s: float
+    shares: tuple[float, ...]  # the ACKed one, and all told since
--- a/brookreach/xds/resources.py
+++ b/brookreach/xds/resources.py
@@ -21,8 +21,8 @@
 from envoy.extensions.filters.network.http_connection_manager.v3 import http_connection_manager_pb2 as hcm_pb2
 from google.protobuf import any_pb2, duration_pb2, wrappers_pb2
 
-from brookreach.xds import assign
-from brookreach.xds.stream import CDS, EDS, LDS, RDS, Resource, Snapshot
+from brookreach.xds.messages import CDS, EDS, LDS, RDS, Resource, Snapshot
+from brookreach.xds.records import Assignment, ClusterSet, Endpoint, RouteSet
 
 LISTENER, ROUTES = "brookreach", "brookreach-routes"
 METHOD_HEADER = "x-brookreach-method"
@@ -49,7 +49,7 @@
     return f"{build}/{method}"
 
 
-def cluster(one: assign.ClusterSet, method: str) -> cluster_pb2.Cluster:
+def cluster(one: ClusterSet, method: str) -> cluster_pb2.Cluster:
     """Endpoints come by EDS; the LB keeps to weights within a locality, and reports load."""
     return cluster_pb2.Cluster(
         name=cluster_of(one.name, method),
@@ -63,9 +63,9 @@
     )
 
 
-def endpoints(one: assign.ClusterSet, zones: Sequence[str]) -> endpoint_pb2.ClusterLoadAssignment:
+def endpoints(one: ClusterSet, zones: Sequence[str]) -> endpoint_pb2.ClusterLoadAssignment:
     """By locality; sick endpoints a priority lower; what must be refused as an overload drop."""
-    places: dict[tuple[int, int], list[assign.Endpoint]] = {}
+    places: dict[tuple[int, int], list[Endpoint]] = {}
     least = min((int(end.sick) for end in one.endpoints), default=0)  # priorities begin at 0 without a gap
     for end in one.endpoints:
         places.setdefault((int(end.sick) - least, end.zone), []).append(end)
@@ -93,7 +93,7 @@
     return made
 
 
-def routes(some: Sequence[assign.RouteSet]) -> route_pb2.RouteConfiguration:
+def routes(some: Sequence[RouteSet]) -> route_pb2.RouteConfiguration:
     """A route for each method, matched by a header; hedging is never told."""
     made = route_pb2.RouteConfiguration(name=ROUTES)
     host = made.virtual_hosts.add(name="all", domains=["*"])
@@ -140,7 +140,7 @@
     return Resource(name, digest(payload), payload)
 
 
-def snapshot(one: assign.Assignment, zones: Sequence[str]) -> Snapshot:
+def snapshot(one: Assignment, zones: Sequence[str]) -> Snapshot:
     """All resources of an assignment."""
     kinds: dict[str, dict[str, Resource]] = {CDS: {}, EDS: {}, LDS: {}, RDS: {}}
     for held in one.clusters:
--- a/brookreach/xds/service.py
+++ b/brookreach/xds/service.py
@@ -16,9 +16,9 @@
 from brookreach.net.report import Writers
 from brookreach.tls.pair import Keeper
 from brookreach.xds import store
-from brookreach.xds.assign import Seat
 from brookreach.xds.book import Book
 from brookreach.xds.config import ControlFile, read
+from brookreach.xds.records import Seat
 from brookreach.xds.serve import Front, server
 from brookreach.xds.view import view_of
 
--- a/brookreach/xds/store.py
+++ b/brookreach/xds/store.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from brookreach.files import MOST_SEALED, replace_file, seal, unseal
-from brookreach.xds.assign import Seat, View
+from brookreach.xds.records import Seat, View
 
 MAGIC = b"brookreach view 1\n"
 
--- a/brookreach/xds/view.py
+++ b/brookreach/xds/view.py
@@ -4,7 +4,7 @@
 
 from brookreach import interface as ifc
 from brookreach.decide import Marshal
-from brookreach.xds.assign import NodeView, View
+from brookreach.xds.records import NodeView, View
 
 
 def view_of(marshal: Marshal, now: float) -> View:
--- a/tests/test_xds.py
+++ b/tests/test_xds.py
@@ -11,9 +11,9 @@
 
 from brookreach import interface as ifc
 from brookreach.xds import assign, resources, store
-from brookreach.xds.assign import NodeView, ProxyUse
 from brookreach.xds.book import Book
-from brookreach.xds.stream import CDS, EDS, RDS, Ask
+from brookreach.xds.messages import CDS, EDS, RDS, Ask
+from brookreach.xds.records import NodeView, ProxyUse
 from tests.xds_rig import FLEET, START, TRIAL, ZONES, book, made, seats, view
 
 from .helpers import node
--- a/tests/test_xds_serve.py
+++ b/tests/test_xds_serve.py
@@ -15,8 +15,8 @@
 from brookreach import interface as ifc
 from brookreach.tls import pair
 from brookreach.xds import config, resources, serve, store
+from brookreach.xds.messages import CDS, EDS, LDS, RDS
 from brookreach.xds.service import Service
-from brookreach.xds.stream import CDS, EDS, LDS, RDS
 from tests.xds_rig import FLEET, Client, book, certificate, pem, seats, served, view
 
 from .helpers import Heard, Town
--- a/tests/xds_rig.py
+++ b/tests/xds_rig.py
@@ -15,8 +15,8 @@
 from brookreach import interface as ifc
 from brookreach.model.case import CASES, start_of
 from brookreach.xds import assign, serve
-from brookreach.xds.assign import NodeView, Seat, View
 from brookreach.xds.book import Book
+from brookreach.xds.records import NodeView, Seat, View
 
 from .helpers import node
 
