--- a/brookreach/decide.py
+++ b/brookreach/decide.py
@@ -11,14 +11,13 @@
 
 from brookreach.charts import BEAT_MS
 from brookreach.desk import BEAT, Desk
-from brookreach.interface import (
-    Action, Ending, Event, NodeList, PickEnded, RolloutNews, RpcGone, RpcTaken, SetTimer, Start, Tally,
-    TimerRang)
+from brookreach.interface import (Action, DeadlineShortened, Ending, Event, NodeList, PickEnded, RolloutNews,
+    RpcGone, RpcTaken, SetTimer, Start, Tally, TimerRang)
 from brookreach.judge import Judge
 from brookreach.parts import Due, Ring as Ring  # read here by others, as is the next
 from brookreach.roster import COLD_PART as COLD_PART
 
-NOTES = {RpcTaken: "taken_in", PickEnded: "ended", RpcGone: "gone", NodeList: "listing"}
+NOTES = {RpcTaken: "taken_in", DeadlineShortened: "shortened", RpcGone: "gone", PickEnded: "ended", NodeList: "listing"}
 
 
 class Marshal:
@@ -42,7 +41,7 @@
 
     def handle(self, now: float, event: Event) -> list[Action]:
         match event:
-            case RpcTaken() | PickEnded() | RpcGone() | NodeList():
+            case RpcTaken() | DeadlineShortened() | RpcGone() | PickEnded() | NodeList():
                 self.desk.tell(NOTES[type(event)], now, event)
             case TimerRang(token=token):
                 self.desk.tell("beat" if token % 4 == BEAT else "rang", now, token // 4, token % 4)
--- a/brookreach/desk.py
+++ b/brookreach/desk.py
@@ -3,9 +3,8 @@
 import math
 
 from brookreach.charts import BEAT_MS, FLOOR, on_trial, warmth
-from brookreach.interface import (
-    Abort, Action, Ending, Group, NodeEntry, Pick, PickEnded, PushBack, Repeat, RpcGone, RpcTaken, SetTimer,
-    Start)
+from brookreach.interface import (Abort, Action, DeadlineShortened, Ending, Group, NodeEntry, Pick, PickEnded,
+    PushBack, Repeat, RpcGone, RpcTaken, SetTimer, Start)
 from brookreach.judge import Judge
 from brookreach.parts import Due, Ring, Rpc
 from brookreach.roster import CARRIED_MS, ERRING, SILENT, Roster, may_go, may_have_run, window_ms
@@ -30,20 +29,25 @@
 
     def taken_in(self, now: float, event: RpcTaken) -> None:
         rpc = self.rpcs[event.rpc] = Rpc(now, event, self.methods[event.method])
-        self.ring(rpc.method, 0).add(now)
+        taken = self.ring(rpc.method, 0)
+        taken.add(now, event.unread_ms < 0.5 * taken.width)  # read late, its window may be over
         self.flow.add(now)
         self.spare = min(3.0, self.spare + 0.1)
         if rpc.cost:
             usual = self.usual_cost.get(rpc.method, rpc.cost)
             self.usual_cost[rpc.method] = usual + 0.02 * (rpc.cost - usual)
         self.acts.append(SetTimer(max(0.0, rpc.end - now - 6.0), 4 * rpc.id + RPC_END))
-        jam = self.crowded(now, rpc) if self.few else (
-            self.chance.random() < min(0.9, 3.0 * (self.late(now) - 0.35)))
-        if jam or len(self.rpcs) > self.permits.max_open:
+        jam = self.crowded(now, rpc) if self.few else self.chance.random() < min(0.9, 3.0 * (self.late(now) - 0.35))
+        if jam or len(self.rpcs) > self.permits.max_open or rpc.end <= now + 6.0:
             return self.give_up(now, rpc)  # at once: what can't be answered in time only makes others late
         self.waiting[rpc.id] = rpc.soft
         self.tell("ask", now, rpc)
 
+    def shortened(self, now: float, event: DeadlineShortened) -> None:
+        if (rpc := self.rpcs.get(event.rpc)) and event.deadline_ms < rpc.end:
+            rpc.end = event.deadline_ms
+            self.acts.append(SetTimer(max(0.0, rpc.end - now - 6.0), 4 * rpc.id + RPC_END))
+
     def crowded(self, now: float, rpc: Rpc) -> bool:
         """Whether more wait, those past it left out, than are answered in PRESSED of the soft deadline."""
         while self.waiting and now >= self.waiting[old := next(iter(self.waiting))]:
@@ -60,8 +64,7 @@
         sides = self.sides(now, rpc)
         if most == FEW and sides:
             sides = self.chance.choices(sides, weights=[
-                side.sums[-1] * math.exp(-self.drags.get(self.side(side.entries[0].build), 0.0))
-                for side, _ in sides])
+                side.sums[-1] * math.exp(-self.drags.get(self.side(side.entries[0].build), 0.0)) for side, _ in sides])
         near = self.drags.get(NEAR, 0.0) - self.drags.get(FAR, 0.0) <= 8.0 * self.prices.cross_zone
         few = dict.fromkeys(entry.node for both in sides for side in (both if near else 2 * both[:1])
                             for entry in side.draw(self.chance, most))
@@ -86,8 +89,7 @@
             self.tell("ask", now, rpc, MORE)
         elif rpc.bids:
             far, some = 1.0 + 8.0 * self.prices.cross_zone, (well or rpc.bids)[:2 * FEW]
-            self.send(now, rpc, min(some, key=lambda b: (
-                b[2] * (1.0 if b[0].zone == self.place.zone else far)))[0])
+            self.send(now, rpc, min(some, key=lambda b: b[2] * (1.0 if b[0].zone == self.place.zone else far))[0])
         elif not rpc.pending():
             self.hold(now, rpc)
 
--- a/brookreach/interface.py
+++ b/brookreach/interface.py
@@ -244,6 +244,8 @@
 
 @dataclass(frozen=True, slots=True)
 class RpcTaken:
+    """A client's RPC, to be answered by `deadline_ms`. It may have come `unread_ms` before it was read."""
+
     rpc: int
     method: int
     tenant: int
@@ -252,6 +254,15 @@
     cost_ms: float | None
     repeat: bool
     write: bool
+    unread_ms: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class DeadlineShortened:
+    """An open RPC has to be answered by `deadline_ms`, sooner than was said: other answers wait for its own."""
+
+    rpc: int
+    deadline_ms: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -328,6 +339,7 @@
 Event = (
     NodeList
     | RpcTaken
+    | DeadlineShortened
     | RpcGone
     | PickEnded
     | ProbeEnded
--- a/brookreach/net/clients.py
+++ b/brookreach/net/clients.py
@@ -65,7 +65,7 @@
         unread is passed over; one that has half an RPC comes last."""
         rows = [self.silent, self.idle] if len(self.silent) > len(self.idle) else [self.idle, self.silent]
         for row in [*rows, self.half]:
-            for client in list(islice(row, self.limits.pipelined)):
+            for client in list(islice(row, self.limits.messages)):
                 asks = client.slots or client.rest or row is self.idle and len(client.inbound)
                 if not asks and client.quiet():
                     client.end()
@@ -138,9 +138,9 @@
             client.leave()
         self.ends_at = time.monotonic() + self.limits.drain_s - self.limits.linger_s + self.limits.past_s
 
-    def ends_before(self, wait_ms: float) -> bool:
-        """Whether we may have ended before an RPC that comes now has its answer."""
-        return time.monotonic() + wait_ms / 1000.0 > self.ends_at
+    def ends_before(self, due: float) -> bool:
+        """Whether we may have ended before an RPC that is due then, by the monotonic clock, has its answer."""
+        return due > self.ends_at
 
 
 def older(row: OrderedDict[Client, float], than: float) -> list[Client]:
--- a/brookreach/net/driver.py
+++ b/brookreach/net/driver.py
@@ -20,23 +20,17 @@
 from brookreach.decide import Marshal
 
 from . import pgwire
-from .client import Slot
+from .answers import Slot
 from .clock import Clock as Clock
 from .limits import Limits
 from .link import Listed, PickOutcome
 from .nodes import Nodes
+from .open_rpcs import OpenRpc, OpenRpcs
 from .report import Report
 from .statement import BadStatement, Statement
 from .stream import Expiring, Poller
 
 
-class Open:
-    """An RPC that has no final answer yet."""
-
-    def __init__(self, statement: Statement, slot: Slot) -> None:
-        self.statement, self.slot, self.picks = statement, slot, 0
-
-
 class Driver:
     def __init__(self, start: ifc.Start, limits: Limits, report: Report, clock: Clock, poller: Poller) -> None:
         self.start, self.limits, self.report, self.clock = start, limits, report, clock
@@ -44,8 +38,7 @@
         self.queue: deque[ifc.Event | PickOutcome] = deque()
         self.timers: list[tuple[float, int, int | Expiring]] = []  # when, in what order set, token or alarm
         self.set_timers = self.taken = 0
-        self.open: dict[int, Open] = {}
-        self.names: set[bytes] = set()  # the ids of open RPCs, as clients gave them
+        self.open = OpenRpcs()
         self.news: ifc.RolloutNews | None = None
         self.poller = poller
         self.waiting: anyio.CancelScope | None = None  # while the task has nothing to do
@@ -72,38 +65,41 @@
         self.set_timers += 1
         heapq.heappush(self.timers, (self.clock.now() + delay_ms, self.set_timers, what))
 
-    def take(self, statement: Statement, slot: Slot) -> int:
+    def take(self, statement: Statement, slot: Slot, came_at: float) -> int:
+        """Number an RPC and hand it to the module. `came_at`, by the monotonic clock, is the earliest that its
+        last byte may have come: the client's wait has run since then. Raises BadStatement."""
         method = self.methods.get(statement.method)
         if method is None:
             raise BadStatement(b"22023", f"unknown class {statement.method!r}")
-        if statement.name in self.names:
-            raise BadStatement(b"22023", "the id of another open RPC")
+        self.open.add(self.taken + 1, OpenRpc(statement, slot))
         self.taken += 1
-        self.open[self.taken] = Open(statement, slot)
-        self.names.add(statement.name)
-        # Its bytes may have waited since the last turn; the client's wait has run since then.
-        deadline = self.clock.at(self.poller.since) + statement.wait_ms
         self.put(
             ifc.RpcTaken(
-                self.taken, method, 0, statement.key, deadline, statement.cost_ms, statement.repeat, statement.write
+                self.taken,
+                method,
+                tenant=0,
+                key=statement.key,
+                deadline_ms=self.clock.at(came_at) + statement.wait_ms,
+                cost_ms=statement.cost_ms,
+                repeat=statement.repeat,
+                write=statement.write,
+                unread_ms=1000.0 * (self.poller.since - came_at),
             )
         )
         return self.taken
 
+    def shorten(self, rpc: int, due: float) -> None:
+        """Answers behind this one's are due then, by the monotonic clock."""
+        if rpc in self.open:
+            self.put(ifc.DeadlineShortened(rpc, self.clock.at(due)))
+
     def gone(self, rpc: int) -> None:
-        held = self._close(rpc)
+        held = self.open.close(rpc)
         if held is not None:
             for nth in range(held.picks):
                 self.nodes.unwanted(rpc, nth)
             self.put(ifc.RpcGone(rpc))
 
-    def _close(self, rpc: int) -> Open | None:
-        """Who takes an RPC out of the table answers it."""
-        held = self.open.pop(rpc, None)
-        if held is not None:
-            self.names.discard(held.statement.name)
-        return held
-
     def wanted(self, rpc: int) -> bool:
         return rpc in self.open
 
@@ -168,7 +164,7 @@
     def _ended(self, outcome: PickOutcome) -> ifc.PickEnded:
         """The first ok goes to the client at once; the module hears that it was final."""
         rpc, ending = outcome.rpc, outcome.ending
-        held = self._close(rpc) if ending == ifc.Ending.OK else None
+        held = self.open.close(rpc) if ending == ifc.Ending.OK else None
         if held is not None:
             held.slot.answer([*outcome.answer, pgwire.READY])
         final = rpc not in self.open
@@ -194,7 +190,7 @@
         """The module failed: its state can't be trusted. What it held is aborted, which promises nothing, and
         it begins a new life with what is known of nodes and builds, as after a restart."""
         self.report.say("fault", trace)
-        for rpc in list(self.open):
+        for rpc in self.open.numbers():
             self._answer(rpc, pgwire.error(b"XX000", "aborted"))
         self.begin()
         entries = tuple(endpoint.listed.entry for endpoint in self.nodes.endpoints.values())
@@ -203,7 +199,7 @@
             self._carry_out(self.marshal.handle(self.clock.now(), self.news))
 
     def _answer(self, rpc: int, answer: bytes) -> None:
-        held = self._close(rpc)
+        held = self.open.close(rpc)
         if held is not None:
             held.slot.answer([answer])
 
--- a/brookreach/net/limits.py
+++ b/brookreach/net/limits.py
@@ -41,7 +41,9 @@
     body: int = 4096 * KIB  # a discovery or platform answer
     line: int = 64 * KIB  # one object of the feed
     backlog: int = 512  # connections that the kernel takes for us ahead: a crowd comes at once
-    pipelined: int = 8  # RPCs under way on one client connection, and messages of it handled in one turn
+    messages: int = 8  # of one client connection handled in one turn, and RPCs of it that may be under way always
+    pipelined: int = 32  # RPCs of one client connection under way; those written ahead of that lie unread
+    written_ahead: int = 8 * 192 * KIB  # past `messages`, bytes that its RPCs under way and waiting answers may hold
     faults: int = 8  # statements that can't be taken, until their connection is closed
     silent_s: float = 2.0  # a connection that has asked nothing, or half a message, is closed after this
     rest_s: float = 2.0  # one idle for so long is closed while over half of the connections are taken
--- /dev/null
+++ b/brookreach/net/open_rpcs.py
@@ -0,0 +1,50 @@
+"""The RPCs that have no final answer yet, by their numbers.
+
+It owns which RPCs are open and the ids that clients gave them. It must never answer one: who takes an RPC out of
+the table does, and so each gets one final answer.
+"""
+
+from __future__ import annotations
+
+from .answers import Slot
+from .statement import BadStatement, Statement
+
+
+class OpenRpc:
+    """An RPC that has no final answer yet, and how many picks it has had."""
+
+    def __init__(self, statement: Statement, slot: Slot) -> None:
+        self.statement, self.slot, self.picks = statement, slot, 0
+
+
+class OpenRpcs:
+    def __init__(self) -> None:
+        self.by_number: dict[int, OpenRpc] = {}
+        self.names: set[bytes] = set()  # the ids of open RPCs, as clients gave them
+
+    def __len__(self) -> int:
+        return len(self.by_number)
+
+    def __contains__(self, number: int) -> bool:
+        return number in self.by_number
+
+    def numbers(self) -> list[int]:
+        return list(self.by_number)
+
+    def get(self, number: int) -> OpenRpc | None:
+        return self.by_number.get(number)
+
+    def add(self, number: int, rpc: OpenRpc) -> None:
+        """Raises BadStatement where another open RPC has its id."""
+        name = rpc.statement.name
+        if name in self.names:
+            raise BadStatement(b"22023", "the id of another open RPC")
+        self.by_number[number] = rpc
+        self.names.add(name)
+
+    def close(self, number: int) -> OpenRpc | None:
+        """Take an RPC out: None where it has been answered, or its client has left."""
+        rpc = self.by_number.pop(number, None)
+        if rpc is not None:
+            self.names.discard(rpc.statement.name)
+        return rpc
--- /dev/null
+++ b/tests/peers_front.py
@@ -0,0 +1,90 @@
+"""A whole marshal but for its tasks: clients' connections, driver, module and nodes, turned by the test."""
+
+import socket
+from dataclasses import replace
+
+from brookreach import interface as ifc
+from brookreach.net import pgwire
+from brookreach.net.clients import Clients
+
+from .helpers import ONCE, Heard, method
+from .peers_clients import LIMITS, Peer
+from .peers_nodes import INSERTED, SELECTED, Whole
+
+RELEASED = ifc.RolloutNews(False, ifc.Ending.OK, 2, 1.0, ifc.Phase.RELEASED, 0.0, 1)
+METHODS = (method(name="look"), method(ONCE, name="book"))
+
+
+def look(number, wait_ms, word="row"):
+    """An idempotent query; a node answers the word `row` at once, and never the word `hang`."""
+    return b"".join(pgwire.query(b"SELECT '%b' /* id=%d,c=look,d=%d */" % (word.encode(), number, wait_ms)))
+
+
+def book(number, wait_ms, word="row"):
+    """One that may not be repeated."""
+    return b"".join(pgwire.query(b"INSERT '%b' /* id=%d,c=book,d=%d */" % (word.encode(), number, wait_ms)))
+
+
+class Front(Whole):
+    """`peers` of the base are nodes; clients come by `client`."""
+
+    def __init__(self, limits=None, **facts):
+        super().__init__(METHODS, **facts)
+        with socket.socket() as free:
+            free.bind(("127.0.0.1", 0))
+            self.at = f"127.0.0.1:{free.getsockname()[1]}"
+        self.home = Clients(replace(LIMITS, **(limits or {})), Heard(), self.poller, self.driver, self.at)
+        self.driver.between = self.home.catch_up
+        self.clients, self.welcomes, self.answered = [], True, {}
+
+    def listed(self, news=RELEASED, **listed):
+        self.listing([peer.listed(**listed) for peer in self.peers], news)
+
+    def turn(self):
+        super().turn()
+        for peer in self.peers:
+            while peer.came() is not None:
+                pass
+            for one in peer.taken:
+                self._serve(one)
+
+    def _serve(self, one):
+        """What a node does with one connection."""
+        if not self.welcomes or not one.started():
+            return
+        if one not in self.answered:
+            one.send(pgwire.WELCOME)
+        queries = one.queries()
+        for text in queries[self.answered.setdefault(one, 0) :]:
+            if b"'row" in text:
+                one.send(SELECTED if text.startswith(b"SELECT") else INSERTED)
+        self.answered[one] = len(queries)
+
+    def queries(self):
+        """All that nodes were ever asked, as the ids of the RPCs."""
+        texts = [text for peer in self.peers for one in peer.taken for text in one.queries()]
+        return sorted(int(text.split(b"id=")[1].split(b",")[0]) for text in texts)
+
+    def client(self):
+        """One that has been welcomed."""
+        peer = Peer(self)
+        self.clients.append(peer)
+        peer.send(pgwire.hello("portal", "crm"))
+        peer.hears(pgwire.WELCOME)
+        return peer
+
+    def close(self):
+        for client in self.clients:
+            client.sock.close()
+        super().close()
+
+
+def said(peer, count):
+    """So many answers of a marshal, in their order: `row`, or an error's SQLSTATE."""
+    out = []
+    while len(out) < count:
+        peer.port.until(lambda: peer.look() or pgwire.READY in peer.heard or peer.over)
+        answer, found, peer.heard = peer.heard.partition(pgwire.READY)
+        assert found, (peer.over, answer)
+        out.append(pgwire.error_state(memoryview(answer)[5:]).decode() if answer[:1] == b"E" else "row")
+    return out
