A pick decided as its client leaves is moot by its own number, not as the first

The module's life ended and every RPC open there was aborted. Cause: the client's leaving lies in the queue, the timer of the second copy is handled first, and told the pick of an RPC that is no longer open as number 0, whichever it was: pick 0 was taken off its node, and ended once more when its node answered. Ruled out: two outcomes of one flight, a node deleted while a pick is out.

--- a/brookreach/net/driver.py
+++ b/brookreach/net/driver.py
@@ -94,7 +94,7 @@
             self.put(ifc.DeadlineShortened(rpc, self.clock.at(due)))
 
     def gone(self, rpc: int) -> None:
-        held = self.open.close(rpc)
+        held = self.open.leave(rpc)
         if held is not None:
             for nth in range(held.picks):
                 self.nodes.unwanted(rpc, nth)
@@ -180,6 +180,8 @@
         except Exception:
             self._failed(traceback.format_exc(limit=-2))
             return
+        if isinstance(event, ifc.RpcGone):
+            self.open.left_heard(event.rpc)
         if self.watch is not None:
             self.watch(now, event)
             for action in actions:
@@ -192,6 +194,7 @@
         self.report.say("fault", trace)
         for rpc in self.open.numbers():
             self._answer(rpc, pgwire.error(b"XX000", "aborted"))
+        self.open.left.clear()  # the new life knows of none
         self.begin()
         entries = tuple(endpoint.listed.entry for endpoint in self.nodes.endpoints.values())
         self._carry_out(self.marshal.handle(self.clock.now(), ifc.NodeList(ifc.ListKind.CACHED, 0, entries)))
@@ -237,7 +240,8 @@
     def _pick(self, pick: ifc.Pick) -> None:
         held = self.open.get(pick.rpc)
         if held is None:  # its client left in the same moment
-            self.put(PickOutcome(pick.rpc, 0, pick.node, ifc.Ending.MOOT, 0.0, []))
+            nth = self.open.number_left_pick(pick.rpc)
+            self.put(PickOutcome(pick.rpc, nth, pick.node, ifc.Ending.MOOT, 0.0, []))
             return
         held.picks += 1
         self.nodes.pick(pick, held.picks - 1, held.statement)
--- a/brookreach/net/open_rpcs.py
+++ b/brookreach/net/open_rpcs.py
@@ -21,6 +21,8 @@
     def __init__(self) -> None:
         self.by_number: dict[int, OpenRpc] = {}
         self.names: set[bytes] = set()  # the ids of open RPCs, as clients gave them
+        # Picks so far of RPCs whose client has left, until the module has heard of it: it may decide on more.
+        self.left: dict[int, int] = {}
 
     def __len__(self) -> int:
         return len(self.by_number)
@@ -48,3 +50,21 @@
         if rpc is not None:
             self.names.discard(rpc.statement.name)
         return rpc
+
+    def leave(self, number: int) -> OpenRpc | None:
+        """Take an RPC out whose client has left; its picks are counted on until `left_heard`."""
+        rpc = self.close(number)
+        if rpc is not None:
+            self.left[number] = rpc.picks
+        return rpc
+
+    def left_heard(self, number: int) -> None:
+        """The module knows that the client has left, and decides on no further pick."""
+        self.left.pop(number, None)
+
+    def number_left_pick(self, number: int) -> int:
+        """The place, from 0, of a pick among those of an RPC whose client has left."""
+        nth = self.left.get(number, 0)
+        if number in self.left:
+            self.left[number] = nth + 1
+        return nth
