--- a/brookreach/net/clients.py
+++ b/brookreach/net/clients.py
@@ -88,6 +88,9 @@
     def sweep(self) -> None:
         """Close what has been silent, half said or stalled for too long, and in a full house what rests."""
         now, limits = time.monotonic(), self.limits
+        for client in self.open:
+            if not client.reading and not len(client.inbound) and client.quiet():
+                client.unread_since = now  # whatever lies unread later has come later
         for client in older(self.stalled, now - limits.stalled_s):
             client.end()
         for row in (self.silent, self.half):
--- a/tests/test_pipelined.py
+++ b/tests/test_pipelined.py
@@ -11,7 +11,7 @@
 from .peers_front import Front, book, look, said
 
 HOUR_MS = 3_600_000
-SHORT_MS = 400
+SHORT_MS = 1000
 
 
 class HeadTest(unittest.TestCase):
@@ -158,14 +158,34 @@
         self.free_heads(front)
         self.assertEqual(said(client, 3), ["row", "row", "row"])
 
+    def test_what_comes_late_to_a_connection_without_room_has_not_waited_from_its_beginning(self):
+        front = self.front()
+        front.listed()
+        client = front.client()
+        client.send(look(1, HOUR_MS, "hang") + look(2, HOUR_MS, "hang"))
+        front.until(lambda: len(front.driver.open) == 2)
+        client.client.unread_since -= HOUR_MS / 1000.0
+        front.home.sweep()
+        client.lies_unread(look(3, HOUR_MS))
+        self.free_heads(front)
+        self.assertEqual(said(client, 3), ["row", "row", "row"])
+
+    def test_a_look_at_what_lies_unread_makes_it_no_younger(self):
+        front = self.front()
+        client = self.held_back(front, SHORT_MS)
+        came = time.monotonic()
+        front.until(lambda: time.monotonic() > came + 1.2 * SHORT_MS / 1000.0)
+        front.home.sweep()
+        self.free_heads(front)
+        self.assertEqual(said(client, 3), ["row", "row", "53300"])
+
     def test_a_pause_between_rpcs_is_none_that_it_has_waited(self):
         front = self.front()
         client = self.held_back(front, HOUR_MS)
         self.free_heads(front)
         said(client, 3)
-        began = time.monotonic()
-        front.until(lambda: time.monotonic() > began + 1.2 * SHORT_MS / 1000.0)
-        client.send(look(9, SHORT_MS))
+        client.client.unread_since -= HOUR_MS / 1000.0  # of what was read long ago
+        client.send(look(9, HOUR_MS))
         self.assertEqual(said(client, 1), ["row"])
 
 
