--- a/brookreach/cli/main.py
+++ b/brookreach/cli/main.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import importlib
 import json
 import math
 import sys
@@ -11,6 +10,8 @@
 
 import click
 
+from brookreach.cli.lazy import LazyGroup
+
 FAMILIES = {
     "run": "brookreach.cli.run:run",
     "site": "brookreach.cli.site:site",
@@ -21,30 +22,11 @@
     "drill": "brookreach.cli.drill:drill",
     "xds": "brookreach.cli.xds:xds",
     "fleet": "brookreach.cli.fleet:fleet",
+    "scale": "brookreach.cli.scale:scale",
 }
 
 
-class Late(click.Group):
-    """Imports a family when it is asked for."""
-
-    def list_commands(self, context: click.Context) -> list[str]:
-        return list(FAMILIES)
-
-    def get_command(self, context: click.Context, name: str) -> click.Command | None:
-        if name not in FAMILIES:
-            return None
-        module, attribute = FAMILIES[name].split(":")
-        try:
-            command = getattr(importlib.import_module(module), attribute)
-        except ImportError as error:
-            raise click.ClickException(
-                f"{name} needs a library that is not installed ({error.name}): pip install brookreach[tools,plots]"
-            ) from None
-        assert isinstance(command, click.Command)
-        return command
-
-
-@click.group(cls=Late, context_settings={"help_option_names": ["-h", "--help"]})
+@click.group(cls=LazyGroup, lazy_commands=FAMILIES, context_settings={"help_option_names": ["-h", "--help"]})
 @click.version_option(package_name="brookreach", message="%(prog)s %(version)s")
 def main() -> None:
     """An RPC router that judges new builds while it routes: the marshal, its plans, records, experiments,
--- /dev/null
+++ b/brookreach/cli/scale.py
@@ -0,0 +1,18 @@
+"""`brookreach scale NAME`: what a role of the program costs at a given size."""
+
+from __future__ import annotations
+
+import click
+
+from brookreach.cli.lazy import LazyGroup
+
+COMMANDS = {
+    "marshal": "brookreach.cli.scale_marshal:marshal",
+    "control": "brookreach.cli.scale_control:control",
+    "storm": "brookreach.cli.scale_control:storm",
+}
+
+
+@click.group(cls=LazyGroup, lazy_commands=COMMANDS)
+def scale() -> None:
+    """Measure what each role costs at sizes that you state, on this machine, with slopes fitted to it."""
