--- a/brookreach/scale/marshal_run.py
+++ b/brookreach/scale/marshal_run.py
@@ -46,33 +46,30 @@
 class Plan:
     """What a run measures, and for how long."""
 
-    decisions: Sequence[Size]
-    counts: Sequence[Size]
-    processes: Sequence[Size]
+    sizes: Sequence[Size]
+    counts: Sequence[Size]  # where work is counted
     rpcs: int
     counted_rpcs: int
     seconds: float  # of each phase of a process
     seed: int
 
-    def steps(self) -> int:
-        return len(self.decisions) + len(self.counts) + 2 * len(self.processes)
-
 
 def default_plan(grid: Grid, rpcs: int, seed: int) -> Plan:
-    return Plan(grid.decisions(), _counts(grid), grid.processes(), rpcs, 200, 3.0, seed)
+    return Plan(grid.axes(), _counts(grid), rpcs, 200, 2.0, seed)
 
 
 def full_plan(grid: Grid, rpcs: int, seed: int) -> Plan:
-    return Plan(grid.full(), _counts(grid), grid.full(), rpcs, 200, 3.0, seed)
+    return Plan(grid.full(), _counts(grid), rpcs, 200, 2.0, seed)
 
 
 def quick_plan(grid: Grid, rpcs: int, seed: int) -> Plan:
     """The least size and the largest of `grid`, no more: some seconds."""
     ends = [grid.full()[0], grid.full()[-1]]
-    return Plan(ends, ends, ends, rpcs, 100, 1.0, seed)
+    return Plan(ends, ends, rpcs, 100, 1.0, seed)
 
 
 def _counts(grid: Grid) -> list[Size]:
+    """Nodes and methods by themselves: no decision looks at a tenant."""
     least = Size(grid.nodes[0], grid.methods[0], grid.tenants[0])
     return sorted(
         {Size(n, least.methods, least.tenants) for n in grid.nodes}
@@ -81,8 +78,13 @@
 
 
 def run(plan: Plan, command: str, progress: Callable[[int, int], None]) -> Report:
-    """Raises WorkerFailed or NoAnswer."""
-    build, steps, done = marshal_build.present(), plan.steps(), 0
+    """Work is counted where this process runs the source, which the interpreter sees the lines of.
+
+    Raises WorkerFailed or NoAnswer.
+    """
+    build, source = marshal_build.present(), marshal_build.source()
+    counts = [] if source.compiled else plan.counts
+    steps, done = 3 * len(plan.sizes) + len(counts), 0
 
     def one_done() -> None:
         nonlocal done
@@ -90,15 +92,14 @@
         progress(done, steps)
 
     timed, counted, lists, processes = [], [], [], []
-    for size in plan.decisions:
+    for size in plan.sizes:
         timed.append(SizedCosts(size, _asked(build, "timed", size, plan.rpcs, plan.seed).costs))
         one_done()
-    for size in plan.counts:
-        counted.append(
-            SizedCosts(size, _asked(marshal_build.source(), "counted", size, plan.counted_rpcs, plan.seed).costs)
-        )
+    for size in counts:
+        reply = _asked(source, "counted", size, plan.counted_rpcs, plan.seed)
+        counted.append(SizedCosts(size, reply.costs))
         one_done()
-    for size in plan.processes:
+    for size in plan.sizes:
         found = _asked(build, "lists", size, plan.rpcs, plan.seed).lists
         assert found is not None
         lists.append(found)
--- a/brookreach/scale/marshal_sizes.py
+++ b/brookreach/scale/marshal_sizes.py
@@ -39,14 +39,7 @@
     def full(self) -> list[Size]:
         return [Size(n, m, t) for n in self.nodes for m in self.methods for t in self.tenants]
 
-    def decisions(self) -> list[Size]:
-        """Every number of nodes with every number of methods; tenants beside the least of both only."""
-        return sorted(
-            {Size(n, m, self.tenants[0]) for n in self.nodes for m in self.methods}
-            | {Size(self.nodes[0], self.methods[0], t) for t in self.tenants}
-        )
-
-    def processes(self) -> list[Size]:
+    def axes(self) -> list[Size]:
         """Each axis by itself beside the least of the others, and the largest of all together."""
         least = Size(self.nodes[0], self.methods[0], self.tenants[0])
         return sorted(
