--- /dev/null
+++ b/brookreach/capacity/measure.py
@@ -0,0 +1,225 @@
+"""`python -m brookreach.capacity.measure`: slopes of the keepers and of the list, as a table in markdown.
+
+Bytes are counted and the same at each run. Memory is what tracemalloc counts of Python objects. Processor times
+are of this machine, without sockets and disks: a lower bound of what a keeper's process takes.
+"""
+
+from __future__ import annotations
+
+import json
+import random
+import statistics
+import time
+import tracemalloc
+from collections.abc import Callable
+from types import SimpleNamespace
+
+import click
+import msgspec
+
+from brookreach.capacity.samples import FAR_INDEX, LIST_ENTRY, MARSHAL, NODE, PERMIT, ROUTE, TENANT
+from brookreach.fleet import sessions, words
+from brookreach.fleet.keeper import Keeper
+from brookreach.fleet.machine import Machine
+from brookreach.fleet.piece import Row
+from brookreach.fleet.seal import opened, sealed
+from brookreach.fleet.seams import Timing
+from brookreach.fleet.tables import Tables
+from brookreach.interface import Tenant
+from brookreach.model.keepers_crowd import KEY, WALL, Crowd, fleet
+from brookreach.net.discovery import Discovery
+from brookreach.net.report import Report
+from brookreach.outages.piece import PIECE
+from brookreach.outages.rows import MARSHALS, NODES, PERMITS
+from brookreach.together import pieces
+
+GROUP = "g"
+BATCH = 256  # renewals that a keeper reads before it answers
+
+
+def encoded_bytes(row: Row, key: str, table: str) -> int:
+    """Of one row as it is told: its table, key and octets in a message."""
+    change = words.Change(table, key, msgspec.msgpack.encode(row))
+    return len(msgspec.msgpack.encode(change))
+
+
+def frame_bytes(row: Row, key: str, table: str) -> int:
+    """Of a whole frame that tells one client this one row, with the stream's length before it."""
+    return 4 + len(sealed(KEY, GROUP, "k1", "m-123", changes(row, key, table)))
+
+
+def changes(row: Row, key: str, table: str) -> words.Changes:
+    change = words.Change(table, key, msgspec.msgpack.encode(row))
+    return words.Changes(FAR_INDEX, FAR_INDEX + 1, (change,))
+
+
+def grown_bytes(build: Callable[[int], object], size: int) -> float:
+    """Memory of one unit more: `build` made of twice the size against once."""
+    held = []
+    for count in (size, 2 * size):
+        tracemalloc.start()
+        kept = build(count)
+        held.append(tracemalloc.get_traced_memory()[0])
+        tracemalloc.stop()
+        del kept
+    return (held[1] - held[0]) / size
+
+
+def rows_of(table: str, row: Row) -> Callable[[int], Tables]:
+    """Builds the table of a client's copy with so many rows alike."""
+
+    def build(count: int) -> Tables:
+        tables = Tables({table: PIECE.tables[table]})
+        for number in range(count):
+            tables.lay([tables.read(table, f"{table}-{number}", msgspec.msgpack.encode(row))])
+        return tables
+
+    return build
+
+
+def machine_with_sessions(count: int) -> Machine:
+    """The agreed state with so many agents' sessions."""
+    machine = Machine(pieces())
+    for number in range(count):
+        octets = sessions.ordered(sessions.Began(f"s-{number}", "agent"), WALL)
+        machine.apply(words.Entry(number + 1, 1, octets))
+    return machine
+
+
+def renewal_seconds(clients: int, rounds: int) -> float:
+    """Processor time of the leader for one renewal: open, hear, answer, seal; with its round to the followers."""
+    crowd = Crowd(100, 1, Timing(), 10.0)
+    crowd.run(5_000.0, lambda: bool(crowd.leader()))
+    for number in range(clients):
+        crowd.add(f"s-{number}", "agent")
+    crowd.run(60_000.0, lambda: len(crowd.told) == clients)
+    name = crowd.leader()
+    leader = crowd.keepers[name]
+    names = list(crowd.clients)
+    spent, renewed = 0.0, 0
+    for turn in range(rounds):
+        chosen = [names[(turn * BATCH + at) % clients] for at in range(BATCH)]
+        frames = [
+            sealed(KEY, GROUP, one, name, words.Renew(crowd.clients[one].session, FAR_INDEX + turn)) for one in chosen
+        ]
+        began = time.process_time()
+        for octets in frames:
+            frame = opened(KEY, GROUP, name, octets)
+            leader.hear(crowd.now, crowd.wall(), frame.source, frame.body)
+        spent += time.process_time() - began
+        taken, answered = confirm(crowd, leader)
+        spent += taken
+        renewed += answered
+    if renewed < BATCH * rounds * 0.9:
+        raise RuntimeError(f"{renewed} of {BATCH * rounds} renewals were answered")
+    return spent / renewed
+
+
+def confirm(crowd: Crowd, leader: Keeper) -> tuple[float, int]:
+    """The leader's round with its followers, until it is quiet: its processor seconds, renewals answered."""
+    spent, answered = 0.0, 0
+    for _ in range(8):
+        began = time.process_time()
+        ready = leader.ready()
+        for target, body in ready.send:
+            sealed(KEY, GROUP, leader.me, target, body)
+        leader.taken(crowd.now, ready)
+        spent += time.process_time() - began
+        answered += sum(isinstance(body, words.Renewed) for _, body in ready.send)
+        for target, body in ready.send:
+            follower = crowd.keepers.get(target)
+            if follower is None:
+                continue
+            follower.hear(crowd.now, crowd.wall(), leader.me, body)
+            reply = follower.ready()
+            if reply.save is not None:
+                crowd.disks[target].save(reply.save)
+            follower.taken(crowd.now, reply)
+            began = time.process_time()
+            for to, said in reply.send:
+                if to == leader.me:
+                    leader.hear(crowd.now, crowd.wall(), target, said)
+            spent += time.process_time() - began
+    return spent, answered
+
+
+def seal_seconds(rounds: int) -> float:
+    """Processor time of sealing one changed row for one client."""
+    body = changes(NODE, "s-12345", NODES)
+    began = time.process_time()
+    for _ in range(rounds):
+        sealed(KEY, GROUP, "k1", "m-123", body)
+    return (time.process_time() - began) / rounds
+
+
+def discovery_of() -> Discovery:
+    """A reader of lists whose lists go nowhere: only reading is measured."""
+    limits = SimpleNamespace(refused_s=1.0, refused_most_s=2.0)
+    return Discovery(limits, Report("measure", 1), ["r1-a"], ["std"], random.Random(1), lambda told, listed: None)  # type: ignore[arg-type]
+
+
+def list_octets(nodes: int, complete: bool) -> bytes:
+    members = [dict(LIST_ENTRY, id=f"s-{number}") for number in range(nodes)]
+    return json.dumps({"revision": 5, "complete": complete, "members": members}).encode()
+
+
+def read_seconds(nodes: int, rounds: int) -> tuple[float, float]:
+    """Processor time of reading a whole list and one change of one node; the median of the rounds."""
+    discovery = discovery_of()
+    medians = []
+    for octets in (list_octets(nodes, True), list_octets(1, False)):
+        spent = []
+        for _ in range(rounds):
+            began = time.process_time()
+            discovery.read(json.loads(octets))
+            spent.append(time.process_time() - began)
+        medians.append(statistics.median(spent))
+    return medians[0], medians[1]
+
+
+def tenants_of(count: int) -> list[Tenant]:
+    return [Tenant(f"tenant-{number}", 1.0 / count, 12.5) for number in range(count)]
+
+
+def measured(nodes: int, clients: int, rounds: int) -> list[tuple[str, float, str]]:
+    """Each slope's name, value and unit."""
+    whole, change = read_seconds(nodes, min(rounds, 9))
+    list_bytes = len(json.dumps(LIST_ENTRY)) + len(", ")
+    return [
+        ("list_bytes_per_node", list_bytes, "bytes"),
+        ("route_config_bytes", len(json.dumps(ROUTE)) + len(", "), "bytes"),
+        ("tenant_config_bytes", len(json.dumps(TENANT)) + len(", "), "bytes"),
+        ("tenant_memory", grown_bytes(tenants_of, nodes), "bytes"),
+        ("list_read_seconds_per_node", whole / nodes, "seconds"),
+        ("change_read_seconds_per_node", change / nodes, "seconds"),
+        ("node_row_bytes", encoded_bytes(NODE, "s-12345", NODES), "bytes"),
+        ("marshal_row_bytes", encoded_bytes(MARSHAL, "m-123", MARSHALS), "bytes"),
+        ("permit_row_bytes", encoded_bytes(PERMIT, "drain-123456", PERMITS), "bytes"),
+        ("node_frame_bytes", frame_bytes(NODE, "s-12345", NODES), "bytes"),
+        ("permit_frame_bytes", frame_bytes(PERMIT, "drain-123456", PERMITS), "bytes"),
+        ("keeper_memory_per_node", grown_bytes(fleet, nodes), "bytes"),
+        (
+            "keeper_memory_per_session",
+            grown_bytes(machine_with_sessions, min(nodes, sessions.MOST_SESSIONS // 2)),
+            "bytes",
+        ),
+        ("mirror_memory_per_node", grown_bytes(rows_of(NODES, NODE), nodes), "bytes"),
+        ("mirror_memory_per_marshal", grown_bytes(rows_of(MARSHALS, MARSHAL), nodes), "bytes"),
+        ("mirror_memory_per_permit", grown_bytes(rows_of(PERMITS, PERMIT), nodes), "bytes"),
+        ("seal_seconds_per_change", seal_seconds(rounds * BATCH), "seconds"),
+        ("leader_seconds_per_renewal", renewal_seconds(clients, rounds), "seconds"),
+    ]
+
+
+@click.command(help=__doc__)
+@click.option("--nodes", type=click.IntRange(100, 12_000), default=4000, show_default=True)
+@click.option("--clients", type=click.IntRange(BATCH, 4000), default=1000, show_default=True)
+@click.option("--rounds", type=click.IntRange(1, 1000), default=40, show_default=True)
+def main(nodes: int, clients: int, rounds: int) -> None:
+    click.echo("| slope | value | unit |\n| --- | --- | --- |")
+    for name, value, unit in measured(nodes, clients, rounds):
+        click.echo(f"| {name} | {value:.3g} | {unit} |")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/brookreach/capacity/measure_anew.py
@@ -0,0 +1,70 @@
+"""`python -m brookreach.capacity.measure_anew`: bytes that keepers tell one client that comes without a session.
+
+Real keepers, clients, tables and sealed frames on a virtual clock, so that the figures are the same at each run; names
+are short there (`n17`), so a row is shorter than those of `samples.py`.
+"""
+
+from __future__ import annotations
+
+import click
+
+from brookreach.fleet import words
+from brookreach.fleet.machine import Machine
+from brookreach.fleet.piece import Draft
+from brookreach.fleet.seams import Timing
+from brookreach.model.keepers_crowd import WALL, Crowd, fleet
+from brookreach.outages import due
+from brookreach.outages.permits import KEEP_MS
+from brookreach.outages.rows import PERMITS, PermitRow
+from brookreach.together import pieces
+
+CLIENTS = 10
+MOST_MS = 60_000.0
+SETTLE_MS = 2_000.0
+KINDS: tuple[words.Kind, ...] = ("marshal", "agent")
+
+
+def fleet_with_permits(nodes: int, permits: int) -> Machine:
+    """A state with so many nodes, and so many permits that are over and kept."""
+    machine = fleet(nodes)
+    draft = Draft(machine.view)
+    for number in range(permits):
+        name, target = f"old{number}", f"n{number % nodes}"
+        draft.put(PERMITS, name, PermitRow("drain", target, "op", 5, WALL, "ended", 1, WALL, WALL, 1, "work"))
+        due.at(draft, WALL + KEEP_MS + number, due.FORGET, name)
+    machine.view.take(draft.puts())
+    fresh = Machine(pieces())
+    fresh.restore(machine.snapshot())
+    return fresh
+
+
+def bytes_anew(kind: words.Kind, nodes: int, permits: int, clients: int = CLIENTS) -> float:
+    """To one of so many clients that come at once, until all hold what they watch."""
+    machine = fleet_with_permits(nodes, permits)
+    crowd = Crowd(nodes, 1, Timing(), 1.0)
+    for keeper in crowd.keepers.values():  # before any of them leads, or has told anything
+        keeper.machine.restore(machine.snapshot())
+        keeper.watches.restored()
+    crowd.run(5_000.0, lambda: bool(crowd.leader()))
+    names = [f"n{number}" if kind == "agent" else f"m{number}" for number in range(clients)]
+    for name in names:
+        crowd.add(name, kind)
+    if not crowd.run(MOST_MS, lambda: len(crowd.told) == clients):
+        raise RuntimeError(f"{len(crowd.told)} of {clients} clients were told within {MOST_MS:.0f} ms")
+    crowd.run(SETTLE_MS)
+    return sum(crowd.says[name] for name in names) / clients
+
+
+@click.command(help=__doc__)
+@click.option("--nodes", type=click.IntRange(10, 20_000), multiple=True, default=(1_000, 12_000), show_default=True)
+@click.option("--permits", type=click.IntRange(0, 50_000), multiple=True, default=(0, 11_200), show_default=True)
+def main(nodes: tuple[int, ...], permits: tuple[int, ...]) -> None:
+    click.echo("| client | nodes | permits that are over | bytes told to it |\n| --- | --- | --- | --- |")
+    for kind in KINDS:
+        for count in nodes:
+            for over in permits:
+                click.echo(f"| {kind} | {count:,} | {over:,} | {bytes_anew(kind, count, over):,.0f} |")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/brookreach/capacity/samples.py
@@ -0,0 +1,38 @@
+"""Rows, list entries and settings as long as a large installation would word them; no figure hangs on their values."""
+
+from __future__ import annotations
+
+from brookreach.model.keepers_crowd import WALL
+from brookreach.outages.attend import SERVICE
+from brookreach.outages.rows import MarshalRow, NodeRow, PermitRow
+
+FAR_INDEX = 1_000_000  # a session's number late in a group's life
+
+LIST_ENTRY = {
+    "id": "s-12345",
+    "host_port": "10.210.123.45:18541",
+    "locality": "r1-a",
+    "flavor": "std",
+    "cell": 17,
+    "phase": "active",
+    "size": 1.0,
+    "up_since_ms": 1_800_000_123_456,
+    "revision_no": 412,
+}
+ROUTE = {
+    "aimUs": 1000000,
+    "dedupScope": "all",
+    "hardLimitUs": 3000000,
+    "idempotency": "non_idempotent",
+    "lateWorth": 0.0,
+    "name": "service-417/method-3",
+    "stream": False,
+    "windowUs": 5000000,
+    "worth": 1.0,
+}
+TENANT = {"name": "tenant-12345", "share": 0.0000204, "allowancePerS": 12.5}
+NODE = NodeRow("r1-a", 412, "service-417", 4, "ready", WALL, 7, WALL, 0, FAR_INDEX)
+MARSHAL = MarshalRow("r1-a", 0, SERVICE, "ready", WALL, FAR_INDEX)
+PERMIT = PermitRow(
+    "drain", "s-12345", "operator-7", 5, WALL, "ended", FAR_INDEX, WALL, WALL, 7, "kernel update", 0, False
+)
--- a/brookreach/cli/files.py
+++ b/brookreach/cli/files.py
@@ -168,6 +168,10 @@
     """What kind of file it is, and its values; raises BadFile."""
     if file.suffix == ".toml":
         values = read_toml(file)
+        if "slope" in values:
+            from brookreach.capacity import read as capacity
+
+            return "sizes and slopes", msgspec.to_builtins(capacity.capacity(file, values))
         if "serve" in values:
             from brookreach.xds import config
 
--- a/brookreach/cli/main.py
+++ b/brookreach/cli/main.py
@@ -21,6 +21,7 @@
     "drill": "brookreach.cli.drill:drill",
     "xds": "brookreach.cli.xds:xds",
     "fleet": "brookreach.cli.fleet:fleet",
+    "capacity": "brookreach.cli.capacity:capacity",
 }
 
 
