--- a/brookreach/capacity/measure.py
+++ b/brookreach/capacity/measure.py
@@ -17,25 +17,23 @@
 import click
 import msgspec
 
-from brookreach.capacity.samples import FAR_INDEX, LIST_ENTRY, MARSHAL, NODE, PERMIT, ROUTE, TENANT
+from brookreach.capacity.measure_leader import BATCH, renewal_seconds
+from brookreach.capacity.samples import FAR_INDEX, GROUP, LIST_ENTRY, MARSHAL, NODE, PERMIT, ROUTE, TENANT
 from brookreach.fleet import sessions, words
-from brookreach.fleet.keeper import Keeper
 from brookreach.fleet.machine import Machine
+from brookreach.fleet.mirror import Mirror
 from brookreach.fleet.piece import Row
-from brookreach.fleet.seal import opened, sealed
-from brookreach.fleet.seams import Timing
-from brookreach.fleet.tables import Tables
+from brookreach.fleet.ring import marked
+from brookreach.fleet.seal import sealed
+from brookreach.fleet.tables import Tables, trace
 from brookreach.interface import Tenant
-from brookreach.model.keepers_crowd import KEY, WALL, Crowd, fleet
+from brookreach.model.keepers_crowd import KEY, WALL, fleet
 from brookreach.net.discovery import Discovery
 from brookreach.net.report import Report
 from brookreach.outages.piece import PIECE
 from brookreach.outages.rows import MARSHALS, NODES, PERMITS
 from brookreach.together import pieces
 
-GROUP = "g"
-BATCH = 256  # renewals that a keeper reads before it answers
-
 
 def encoded_bytes(row: Row, key: str, table: str) -> int:
     """Of one row as it is told: its table, key and octets in a message."""
@@ -86,63 +84,6 @@
     return machine
 
 
-def renewal_seconds(clients: int, rounds: int) -> float:
-    """Processor time of the leader for one renewal: open, hear, answer, seal; with its round to the followers."""
-    crowd = Crowd(100, 1, Timing(), 10.0)
-    crowd.run(5_000.0, lambda: bool(crowd.leader()))
-    for number in range(clients):
-        crowd.add(f"s-{number}", "agent")
-    crowd.run(60_000.0, lambda: len(crowd.told) == clients)
-    name = crowd.leader()
-    leader = crowd.keepers[name]
-    names = list(crowd.clients)
-    spent, renewed = 0.0, 0
-    for turn in range(rounds):
-        chosen = [names[(turn * BATCH + at) % clients] for at in range(BATCH)]
-        frames = [
-            sealed(KEY, GROUP, one, name, words.Renew(crowd.clients[one].session, FAR_INDEX + turn)) for one in chosen
-        ]
-        began = time.process_time()
-        for octets in frames:
-            frame = opened(KEY, GROUP, name, octets)
-            leader.hear(crowd.now, crowd.wall(), frame.source, frame.body)
-        spent += time.process_time() - began
-        taken, answered = confirm(crowd, leader)
-        spent += taken
-        renewed += answered
-    if renewed < BATCH * rounds * 0.9:
-        raise RuntimeError(f"{renewed} of {BATCH * rounds} renewals were answered")
-    return spent / renewed
-
-
-def confirm(crowd: Crowd, leader: Keeper) -> tuple[float, int]:
-    """The leader's round with its followers, until it is quiet: its processor seconds, renewals answered."""
-    spent, answered = 0.0, 0
-    for _ in range(8):
-        began = time.process_time()
-        ready = leader.ready()
-        for target, body in ready.send:
-            sealed(KEY, GROUP, leader.me, target, body)
-        leader.taken(crowd.now, ready)
-        spent += time.process_time() - began
-        answered += sum(isinstance(body, words.Renewed) for _, body in ready.send)
-        for target, body in ready.send:
-            follower = crowd.keepers.get(target)
-            if follower is None:
-                continue
-            follower.hear(crowd.now, crowd.wall(), leader.me, body)
-            reply = follower.ready()
-            if reply.save is not None:
-                crowd.disks[target].save(reply.save)
-            follower.taken(crowd.now, reply)
-            began = time.process_time()
-            for to, said in reply.send:
-                if to == leader.me:
-                    leader.hear(crowd.now, crowd.wall(), target, said)
-            spent += time.process_time() - began
-    return spent, answered
-
-
 def seal_seconds(rounds: int) -> float:
     """Processor time of sealing one changed row for one client."""
     body = changes(NODE, "s-12345", NODES)
@@ -152,6 +93,31 @@
     return (time.process_time() - began) / rounds
 
 
+def whole_seconds(rows: int, rounds: int) -> float:
+    """Processor time of sealing one row of a whole table for one client."""
+    octets = msgspec.msgpack.encode(NODE)
+    part = words.Whole(1, 0, True, tuple(words.Change(NODES, f"s-{number}", octets) for number in range(rows)))
+    began = time.process_time()
+    for _ in range(rounds):
+        sealed(KEY, GROUP, "k1", "m-123", part)
+    return (time.process_time() - began) / (rounds * rows)
+
+
+def mirror_seconds(rows: int) -> float:
+    """Processor time of a client for one row of a whole table that it is told, its reader's own work left out."""
+    octets = msgspec.msgpack.encode(NODE)
+    told = tuple(words.Change(NODES, f"s-{number}", octets) for number in range(rows))
+    mirror = Mirror({NODES: PIECE.tables[NODES]}, (NODES,))
+    mirror.asked()
+    whole = words.Whole(1, 0, True, marked((NODES,), sum(trace(one) for one in told)) + told)
+    began = time.process_time()
+    mirror.whole(whole)
+    spent = time.process_time() - began
+    if mirror.count(NODES) != rows:
+        raise RuntimeError(f"{mirror.count(NODES)} of {rows} rows were taken")
+    return spent / rows
+
+
 def discovery_of() -> Discovery:
     """A reader of lists whose lists go nowhere: only reading is measured."""
     limits = SimpleNamespace(refused_s=1.0, refused_most_s=2.0)
@@ -206,7 +172,9 @@
         ("mirror_memory_per_node", grown_bytes(rows_of(NODES, NODE), nodes), "bytes"),
         ("mirror_memory_per_marshal", grown_bytes(rows_of(MARSHALS, MARSHAL), nodes), "bytes"),
         ("mirror_memory_per_permit", grown_bytes(rows_of(PERMITS, PERMIT), nodes), "bytes"),
+        ("mirror_seconds_per_row", mirror_seconds(nodes), "seconds"),
         ("seal_seconds_per_change", seal_seconds(rounds * BATCH), "seconds"),
+        ("whole_seconds_per_row", whole_seconds(words.MOST_ROWS, rounds), "seconds"),
         ("leader_seconds_per_renewal", renewal_seconds(clients, rounds), "seconds"),
     ]
 
--- a/brookreach/capacity/samples.py
+++ b/brookreach/capacity/samples.py
@@ -6,6 +6,7 @@
 from brookreach.outages.attend import SERVICE
 from brookreach.outages.rows import MarshalRow, NodeRow, PermitRow
 
+GROUP = "g"
 FAR_INDEX = 1_000_000  # a session's number late in a group's life
 
 LIST_ENTRY = {
