--- a/brookreach/capacity/table.py
+++ b/brookreach/capacity/table.py
@@ -73,15 +73,17 @@
     return NONE_GIVEN if row.budget is None else quantity(row.budget, row.unit)
 
 
+def _place(row: Row) -> tuple[str, str, str, str]:
+    """The first cells of each table of figures."""
+    return ratio_text(row.ratio), row.role, row.situation, row.resource
+
+
 def figures_table(rows: Iterable[Row]) -> str:
     """Each figure, in the order it is handed in."""
     head = ("ratio", "role", "situation", "resource", "what", "figure", "budget", "mark", "mechanism", "if doubled")
     lines = [
         (
-            ratio_text(row.ratio),
-            row.role,
-            row.situation,
-            row.resource,
+            *_place(row),
             f"{row.what}: {row.formula}",
             quantity(row.value, row.unit),
             _budget_text(row),
@@ -99,10 +101,7 @@
     head = ("ratio", "role", "situation", "resource", "sum", "budget", "parts", "largest part", "mark", "if doubled")
     lines = [
         (
-            ratio_text(row.ratio),
-            row.role,
-            row.situation,
-            row.resource,
+            *_place(row),
             quantity(row.value, row.unit),
             _budget_text(row),
             str(row.parts),
@@ -185,10 +184,7 @@
     cells = [("ratio", "role", "situation", "resource", "figure", "budget", "mark", "what")]
     cells += [
         (
-            ratio_text(row.ratio),
-            row.role,
-            row.situation,
-            row.resource,
+            *_place(row),
             quantity(row.value, row.unit),
             _budget_text(row),
             row.evidence,
