--- /dev/null
+++ b/tests/scope_rig.py
@@ -0,0 +1,53 @@
+"""Fleets and services for tests of the scope."""
+
+import random
+
+from hypothesis import strategies as st
+
+from brookreach.scope.settings import Caps, Settings, Spread
+from brookreach.scope.view import Marshal, Service, view_of
+
+ROOMY = Settings()
+TIGHT = Settings(caps=Caps(services=3, nodes=80, routes=12, tenants=200, rpcs=60), spread=Spread(marshals=4))
+
+NO_CAPS = Settings(caps=Caps(services=10_000, nodes=100_000, routes=100_000, tenants=100_000, rpcs=100_000))
+
+marshals = st.builds(
+    Marshal,
+    name=st.integers(0, 25).map("m{}".format),
+    region=st.sampled_from(["east", "west"]),
+    zone=st.sampled_from(["a", "b", "c"]),
+    weight=st.integers(1, 3),
+)
+services = st.builds(
+    Service,
+    name=st.integers(0, 15).map("s{}".format),
+    nodes=st.integers(0, 40),
+    routes=st.integers(0, 6),
+    tenants=st.integers(0, 90),
+    rpcs=st.integers(0, 300),
+)
+views = st.builds(
+    lambda marshals, services: view_of(1, marshals, services),
+    st.lists(marshals, max_size=20, unique_by=lambda one: one.name),
+    st.lists(services, max_size=12, unique_by=lambda one: one.name),
+)
+
+
+def fleet(count, zones=6, weight=1):
+    return [Marshal(f"m{at}", f"r{at % 2}", f"z{at % zones}", weight) for at in range(count)]
+
+
+def many_services(count, seed=1):
+    chance = random.Random(seed)
+    return [
+        Service(f"s{at}", chance.randint(1, 30), chance.randint(1, 6), chance.randint(0, 130), chance.randint(0, 400))
+        for at in range(count)
+    ]
+
+
+def moved(before, after):
+    """Seats taken and left, over services that stand in both."""
+    return sum(
+        len(set(before.holders[name]) ^ set(after.holders[name])) for name in before.holders if name in after.holders
+    )
--- /dev/null
+++ b/tests/test_scope_drill.py
@@ -0,0 +1,49 @@
+"""The drill of the scope keeps all rules, and finds each planted defect; `run` loads nothing of the scope."""
+
+import os
+import subprocess
+import sys
+import unittest
+from pathlib import Path
+
+from brookreach.drills import scope
+
+FOUND_BY = {
+    "no-hold-down": "stillness",
+    "break-before-make": "coverage",
+    "gap-taken-as-whole": "",
+    "cap-ignored": "caps",
+    "one-answer-is-enough": "coverage",
+}
+
+
+class ScopeDrillTest(unittest.TestCase):
+    def test_rules_hold(self):
+        report = scope.run(1, 2)
+        self.assertEqual(report.violations, [])
+        for rule in ("coverage", "stillness", "agreement", "caps"):
+            self.assertGreater(report.checked[rule], 50, rule)
+
+    def test_planted_defects_are_found(self):
+        self.assertEqual(set(FOUND_BY), set(scope.PLANTS))
+        for plant, rule in FOUND_BY.items():
+            with self.subTest(plant):
+                report = scope.run(1, 12, plant)
+                self.assertFalse(report.good)
+                self.assertIn(rule, {one.rule for one in report.violations} | {""})
+
+    def test_a_marshal_that_the_platform_starts_has_nothing_of_the_scope(self):
+        code = (
+            "import sys, brookreach.__main__ as m; m.serve(); "
+            "print([n for n in sys.modules if n.startswith(('brookreach.scope', 'xxhash', 'msgspec'))])"
+        )
+        environment = {key: value for key, value in os.environ.items() if key != "PROXY_CONFIG"}
+        done = subprocess.run(
+            [sys.executable, "-c", code],
+            env=environment | {"PYTHONPATH": "."},
+            cwd=Path(__file__).parent.parent,
+            capture_output=True,
+            text=True,
+            timeout=60,
+        )
+        self.assertEqual(done.stdout.strip(), "[]", done.stderr)
--- /dev/null
+++ b/tests/test_scope_settings.py
@@ -0,0 +1,46 @@
+"""Settings of the scope: every error with file, key, what stands there, what is allowed."""
+
+import tempfile
+import unittest
+from pathlib import Path
+
+from brookreach.files import BadFile
+from brookreach.scope.settings import Settings, read_settings
+
+
+class SettingsTest(unittest.TestCase):
+    def read(self, text):
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "scope.toml"
+            path.write_text(text)
+            return read_settings(path)
+
+    def test_what_is_left_out_has_its_default(self):
+        self.assertEqual(self.read(""), Settings())
+        self.assertEqual(self.read("[caps]\nnodes = 900\n").caps.nodes, 900)
+        self.assertEqual(self.read("[times]\ngone_ms = 0\n").times.gone_ms, 0)
+
+    def test_bad_input(self):
+        for text, said in (
+            ("[cap]\n", "cap: no such part; caps, spread, subset, times are allowed"),
+            ("caps = 3\n", "caps: 3; a table is allowed"),
+            ("[caps]\nnode = 3\n", "caps.node: no such key; services, nodes, routes, tenants, rpcs are allowed"),
+            ("[caps]\nnodes = 0\n", "caps.nodes: 0; a whole number from 1 to 1000000 is allowed"),
+            ("[caps]\nnodes = 1.5\n", "caps.nodes: 1.5; a whole number from 1 to 1000000 is allowed"),
+            ("[caps]\nnodes = true\n", "caps.nodes: True; a whole number"),
+            ('[times]\nbatch_ms = "1 s"\n', "times.batch_ms: '1 s'; a whole number from 1 to 3600000 is allowed"),
+            ("[spread]\nmarshals = 3\n", "spread.marshals: 3; a whole number from 4 to"),
+            ("[subset]\nmost_holders = 2\n", "subset.most_holders: 2; subset.holders (4) or more is allowed"),
+            ("[caps]\nnodes = 100\n", "subset.nodes: 200; at most caps.nodes (100) is allowed"),
+            ("[caps\n", "no TOML"),
+        ):
+            with self.subTest(text), self.assertRaises(BadFile) as caught:
+                self.read(text)
+            self.assertEqual(len(caught.exception.errors), 1)
+            self.assertIn(said, caught.exception.errors[0])
+            self.assertIn("scope.toml: ", caught.exception.errors[0])
+
+    def test_all_errors_at_once(self):
+        with self.assertRaises(BadFile) as caught:
+            self.read("[caps]\nnodes = 0\nroutes = -1\n[times]\nask_ms = 0\n")
+        self.assertEqual(len(caught.exception.errors), 3)
