--- a/brookreach/scope/place.py
+++ b/brookreach/scope/place.py
@@ -8,34 +8,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
-
-import msgspec
-
+from brookreach.scope.placement import Placement
+from brookreach.scope.placer import Placer
 from brookreach.scope.settings import Settings
 from brookreach.scope.view import View
 
 
-class Short(msgspec.Struct, frozen=True):
-    """A service with fewer marshals than it wants: there are no more, or their caps leave no room."""
-
-    wanted: int
-    placed: int
-
-
-class Placement(msgspec.Struct, frozen=True):
-    """Names in order; a service that nobody holds has an empty row."""
-
-    holders: Mapping[str, tuple[str, ...]]
-    short: Mapping[str, Short]
-
-    def of(self, marshal: str) -> tuple[str, ...]:
-        """One marshal's own services, in order."""
-        return tuple(sorted(service for service, names in self.holders.items() if marshal in names))
-
-
 def place(view: View, settings: Settings) -> Placement:
-    """From nothing. `Placer` comes to the same from the placement before, with less work."""
-    from brookreach.scope.placer import Placer
-
+    """From nothing. A `Placer` comes to the same from the placement before, with less work."""
     return Placer(settings).take(view)
--- a/brookreach/scope/placer.py
+++ b/brookreach/scope/placer.py
@@ -12,7 +12,7 @@
 
 from brookreach.scope import demand, rendezvous
 from brookreach.scope.demand import Load
-from brookreach.scope.place import Placement, Short
+from brookreach.scope.placement import Placement, Short
 from brookreach.scope.seats import ALL, NONE, Order, Placed, Seat, Work, placed_of, seat_of, total
 from brookreach.scope.settings import Settings
 from brookreach.scope.view import Marshal, Service, View
--- a/brookreach/scope/settle.py
+++ b/brookreach/scope/settle.py
@@ -45,12 +45,12 @@
         """A session that began or says another size or place of itself."""
         settled = self._marshals.get(marshal.name)
         if settled is None:
-            self._wait(self._waiting_marshals, marshal.name, marshal, now_ms + hold_down(self._times.join_ms))
+            self._wait(self._waiting_marshals, marshal.name, marshal, now_ms + self._times.join_ms)
             return
         if (settled.place, settled.weight) == (marshal.place, marshal.weight):
             self._waiting_marshals.pop(marshal.name, None)
         else:
-            self._wait(self._waiting_marshals, marshal.name, marshal, now_ms + hold_down(self._times.size_ms))
+            self._wait(self._waiting_marshals, marshal.name, marshal, now_ms + self._times.size_ms)
         if settled.session != marshal.session:
             old = self._marshals[marshal.name]
             self._marshals[marshal.name] = Marshal(old.name, old.region, old.zone, old.weight, marshal.session)
@@ -59,7 +59,7 @@
     def left(self, name: str, now_ms: int) -> None:
         """Its session ended: the lease ran out, or it took leave."""
         if name in self._marshals:
-            self._wait(self._waiting_marshals, name, None, now_ms + hold_down(self._times.gone_ms))
+            self._wait(self._waiting_marshals, name, None, now_ms + self._times.gone_ms)
         else:
             self._waiting_marshals.pop(name, None)
 
@@ -71,7 +71,7 @@
         elif settled == service:
             self._waiting_services.pop(service.name, None)
         else:
-            self._wait(self._waiting_services, service.name, service, now_ms + hold_down(self._times.size_ms))
+            self._wait(self._waiting_services, service.name, service, now_ms + self._times.size_ms)
 
     def ended(self, service: str, now_ms: int) -> None:
         """The service is no longer configured."""
@@ -81,12 +81,10 @@
             self._waiting_services.pop(service, None)
 
     def _wait(self, waiting: dict[str, Waiting], name: str, row: Marshal | Service | None, due_ms: int) -> None:
-        """One that says the same again keeps its time."""
+        """One that is said again keeps its time, so a size that never rests is taken as it stands then."""
         old = waiting.get(name)
-        if old and _same(old.row, row):
-            waiting[name] = Waiting(row, old.due_ms)
-        else:
-            waiting[name] = Waiting(row, due_ms)
+        keeps = old is not None and (old.row is None) == (row is None)
+        waiting[name] = Waiting(row, old.due_ms if old and keeps else due_ms)
 
     # --- versions ---
 
@@ -109,17 +107,6 @@
         return self.view
 
 
-def hold_down(length_ms: int) -> int:
-    """How long a change waits. A drill plants a defect here."""
-    return length_ms
-
-
-def _same(one: Marshal | Service | None, other: Marshal | Service | None) -> bool:
-    if isinstance(one, Marshal) and isinstance(other, Marshal):
-        return (one.place, one.weight) == (other.place, other.weight)
-    return one == other
-
-
 def _whole_batch(due_ms: int, batch_ms: int) -> int:
     return -(-due_ms // batch_ms) * batch_ms
 
--- a/tests/test_scope_place.py
+++ b/tests/test_scope_place.py
@@ -8,7 +8,8 @@
 from hypothesis import strategies as st
 
 from brookreach.scope import demand, rendezvous
-from brookreach.scope.place import Short, place
+from brookreach.scope.place import place
+from brookreach.scope.placement import Short
 from brookreach.scope.placer import Placer
 from brookreach.scope.settings import Caps, Settings, Subset
 from brookreach.scope.view import Marshal, Service, ViewError, view_of
--- a/tests/test_scope_settle.py
+++ b/tests/test_scope_settle.py
@@ -83,6 +83,13 @@
         self.assertEqual(settling.tick(70_000).services[0].nodes, 400)
         self.assertEqual(settling.tick(71_000).marshal("m3").weight, 5)
 
+    def test_a_size_that_never_rests_is_taken_as_it_stands(self):
+        settling = self.settled()
+        for at in range(60):
+            settling.sized(Service("s", 100 + at), 10_000 + 1_000 * at)
+            self.assertIsNone(settling.tick(10_000 + 1_000 * at))
+        self.assertEqual(settling.tick(70_000).services[0].nodes, 159)
+
     def test_it_goes_on_from_a_view(self):
         settling = self.settled()
         again = Settling(TIMES, settling.view)
