--- /dev/null
+++ b/brookreach/scale/hollow_marshal.py
@@ -0,0 +1,125 @@
+"""A hollow marshal: the real attendance of a marshal in its group, without clients, nodes, discovery or platform.
+
+It owns what stands in for the parts of a marshal that face RPCs, and counts what the connection to a keeper carries.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from pathlib import Path
+from types import SimpleNamespace
+
+import anyio
+import anyio.abc
+
+from brookreach.fleet.client import Client
+from brookreach.fleet.dial import Call, Dial, now_ms
+from brookreach.fleet.events import Changed, Event, SessionLost
+from brookreach.outages.attend import WATCHED, Attendance
+from brookreach.outages.piece import PIECE
+from brookreach.scale.hollow_protocol import BUCKET_MS
+
+
+@dataclass(slots=True)
+class Traffic:
+    """What all marshals of a process sent and received, without the headers of TCP."""
+
+    bytes_in: int = 0
+    bytes_out: int = 0
+    messages_in: int = 0
+    sessions_lost: int = 0
+    rows: Counter[str] = field(default_factory=Counter)  # by table
+    buckets: Counter[int] = field(default_factory=Counter)  # bytes received, by time in BUCKET_MS
+
+
+class CountedStream(anyio.abc.ByteStream):
+    """A connection whose bytes are counted."""
+
+    def __init__(self, stream: anyio.abc.ByteStream, traffic: Traffic):
+        self._stream, self._traffic = stream, traffic
+
+    async def receive(self, max_bytes: int = 65536) -> bytes:
+        octets = await self._stream.receive(max_bytes)
+        self._traffic.bytes_in += len(octets)
+        self._traffic.buckets[int(now_ms()) // BUCKET_MS] += len(octets)
+        return octets
+
+    async def send(self, item: bytes) -> None:
+        await self._stream.send(item)
+        self._traffic.bytes_out += len(item)
+
+    async def send_eof(self) -> None:
+        await self._stream.send_eof()
+
+    async def aclose(self) -> None:
+        await self._stream.aclose()
+
+
+class CountedDial(Dial):
+    """A client on sockets whose traffic is counted."""
+
+    traffic: Traffic
+
+    async def _write(self, call: Call, stream: anyio.abc.ByteStream, scope: anyio.CancelScope) -> None:
+        await super()._write(call, CountedStream(stream, self.traffic), scope)
+
+    async def _read(self, call: Call, stream: anyio.abc.ByteStream) -> None:
+        await super()._read(call, CountedStream(stream, self.traffic))
+
+
+def parts(name: str, zone: str, numbers: Mapping[str, int]) -> SimpleNamespace:
+    """What an attendance needs of a marshal: its name, its zone, and the nodes that discovery has listed."""
+    return SimpleNamespace(
+        report=SimpleNamespace(name=name, say=lambda kind, text: None),
+        told={"settings": {"zones": [zone]}},
+        discovery=SimpleNamespace(numbers=numbers, version=1, told=None),
+        driver=SimpleNamespace(
+            start=SimpleNamespace(place=SimpleNamespace(zone=0)),
+            nodes=SimpleNamespace(endpoints={}),
+            told=lambda listing, listed: None,
+        ),
+    )
+
+
+class HollowMarshal(Attendance):
+    """`moved(name, index)` is called whenever its copy of the agreed state has come to another place of the log."""
+
+    def __init__(
+        self,
+        path: Path,
+        name: str,
+        zone: str,
+        numbers: Mapping[str, int],
+        seed: int,
+        traffic: Traffic,
+        moved: Callable[[str, int], None],
+    ):
+        self.seed, self.traffic, self.moved = seed, traffic, moved
+        super().__init__(parts(name, zone, numbers), path, restarts=False)
+
+    def begin(self) -> None:
+        super().begin()
+        tables = {table: PIECE.tables[table] for table in WATCHED}
+        chance = random.Random(f"{self.seed} {self.name}")
+        self.client = Client(self.name, "marshal", tuple(self.addresses), self.timing, chance, tables)
+        self.dial = CountedDial(self.client, self.group, self.key, self.addresses, self.hear)
+        self.dial.traffic = self.traffic
+
+    def hear(self, event: Event) -> None:
+        super().hear(event)
+        if isinstance(event, SessionLost):
+            self.traffic.sessions_lost += 1
+        elif isinstance(event, Changed):
+            self.traffic.messages_in += 1
+            for put in event.puts:
+                self.traffic.rows[put.table] += 1
+            self.moved(self.name, event.index)
+
+    def up_to_date(self, gone: str, index: int) -> bool:
+        """It holds its lease with a keeper other than `gone`, and all that was agreed up to `index`."""
+        client = self.client
+        connected = client.joined and client.keeper != gone
+        return connected and client.mirror.settled and client.mirror.index >= index and client.holds(now_ms())
