--- a/brookreach/cli/scale_control.py
+++ b/brookreach/cli/scale_control.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 from collections.abc import Callable
 from functools import partial
@@ -14,7 +15,7 @@
 
 MOST_MARSHALS, LEAST_NODES, MOST_NODES = 1_500, 50, 20_000
 MOST_MEMORY_MB = 8_192
-QUICK_TIMES = 6_000.0, 1_500.0  # lease and election, in ms: a busy machine must not end sessions
+QUICK_TIMES = 12_000.0, 3_000.0  # lease and election, in ms: a busy machine must not end sessions
 ELECTIONS_A_LEASE = 3.0  # as `fleet.config` has it
 
 
@@ -58,6 +59,7 @@
     from brookreach.scale.control_cluster import NotSettled
 
     known = (NotHeard, ChildFailed, NotSettled)
+    signal.signal(signal.SIGTERM, signal.default_int_handler)  # so that all processes of the run end with it
     try:
         return call()
     except known as error:
--- a/brookreach/scale/control.py
+++ b/brookreach/scale/control.py
@@ -39,6 +39,7 @@
     bytes_in: float  # the same while the changes come
     bytes_out: float
     bytes_a_record: float  # to a marshal, beyond the idle ones
+    rows_a_record: float  # told to a marshal: below one where several records came in one message
     idle_leader_share: float  # not a number where another keeper came to lead meanwhile, as the next two
     leader_share: float
     leader_us_a_telling: float  # beyond the idle share, by record and marshal
@@ -69,6 +70,7 @@
     processor_s: float
     bytes_in: int
     bytes_out: int
+    rows: int
     leader: str
     leader_s: float
 
@@ -80,6 +82,7 @@
         sum(one.processor_s for one in reports),
         sum(one.bytes_in for one in reports),
         sum(one.bytes_out for one in reports),
+        sum(sum(one.rows.values()) for one in reports),
         leader,
         cluster.usage(leader).processor_s,
     )
@@ -177,6 +180,7 @@
         bytes_in=busy_in,
         bytes_out=busy_out,
         bytes_a_record=(busy_in - idle_in) * busy_s / records,
+        rows_a_record=(after.rows - quiet.rows) / records / marshals,
         idle_leader_share=idle_leader,
         leader_share=busy_leader,
         leader_us_a_telling=(busy_leader - idle_leader) * busy_s * 1e6 / records / marshals,
--- a/brookreach/scale/control_day.py
+++ b/brookreach/scale/control_day.py
@@ -112,9 +112,7 @@
                 own.append((began + seconds / 2.0, FAILURE[:1]))
                 own.append((began + seconds / 2.0 + RACK_AWAY_S, FAILURE[1:]))
                 players.start_soon(_states, agent, sorted(own))
-        for agent in agents:
-            await agent.talk.dial.end(0.0)
-        tasks.cancel_scope.cancel()
+        tasks.cancel_scope.cancel()  # no agent leaves: the ends of their sessions would be further records
     return outcome
 
 
--- a/brookreach/scale/control_table.py
+++ b/brookreach/scale/control_table.py
@@ -90,6 +90,7 @@
         ("configuration changes", ",", lambda run: run.changes),
         ("records in all", ",", lambda run: run.records),
         ("records a second", ".1f", lambda run: run.records_a_second),
+        ("rows told to a marshal a record", ".2f", lambda run: run.rows_a_record),
         ("records that were not agreed", ",", lambda run: run.failed),
         ("changes that not all had", ",", lambda run: run.unreached),
         ("sessions lost", ",", lambda run: run.sessions_lost),
