Drills that end by an error are named; each claims ports of its own, waits are generous

Seen: test_power ended as KeyError: 'power'. The test played three drills in threads, each of which wrote its report into a map; a thread that ended by any error left no entry, so the test's own lookup failed and named no cause. Shown: with one of the drill's fixed ports (19600 to 19699) in use, as by a second checkout's make test, Relay.run ends with OSError 98 and the map holds no 'power'. Ports: a block claimed by a bound socket for as long as the drill goes on (drills/ports.py). Founding: a typed NotReported that names the command. Questions: Operator.ask waits for a place. Budgets whose outcome is unknown are asked again. Waits for conditions: 180 and 300 s where 30 stood; ends after SIGTERM 60 s. On one core the three drills follow each other.

--- a/brookreach/drills/gangs_processes.py
+++ b/brookreach/drills/gangs_processes.py
@@ -88,7 +88,7 @@
             tasks.start_soon(town.listen)
             tasks.start_soon(self.ann.dial.run)
             lines = (orders.BudgetFor("node", "all", 8, 0),)
-            await self.ann.ask("outages", orders.SetBudgets(lines), START_S)
+            await self.ann.agreed("outages", orders.SetBudgets(lines), START_S)
             if await town.until(self.hands, "the town begins", START_S, self.lacks):
                 await self.others(tasks)
                 for kind in self.kinds:
--- a/brookreach/drills/outages_processes.py
+++ b/brookreach/drills/outages_processes.py
@@ -111,7 +111,7 @@
             self.begin()
             for one in (self.eye, self.ann, self.bob):
                 tasks.start_soon(one.dial.run)
-            await self.ann.ask("outages", orders.SetBudgets(LINES), START_S)
+            await self.ann.agreed("outages", orders.SetBudgets(LINES), START_S)
             if await town.until(self.whole, "the town begins", START_S, self.lacks):
                 for at, name in enumerate(self.marshals):
                     tasks.start_soon(self.load, at, name)
--- /dev/null
+++ b/tests/test_drill_reports.py
@@ -0,0 +1,117 @@
+"""A drill, or a part of one, that ends without a report is named; and drills beside each other share no port."""
+
+import socket
+import tempfile
+import unittest
+from pathlib import Path
+from unittest import mock
+
+import anyio
+from click.testing import CliRunner
+
+from brookreach.cli.drill import drill
+from brookreach.drills import pieces_processes, power_processes
+from brookreach.drills.ports import NoPorts, Ports
+from brookreach.drills.processes import Child, played
+from brookreach.drills.report import REPORTS, NotReported, Report, gathered, report_of
+from brookreach.fleet.asks import TooMany
+
+FIRST, LAST = 29600, 29619  # blocks of ten
+
+
+class FailingPlay:
+    def __init__(self, error):
+        self.error = error
+
+    async def run(self):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.fail)
+
+    async def fail(self):
+        raise self.error
+
+
+def played_with(error, seeds=2):
+    return played("power", range(7, 7 + seeds), 3, None, lambda *_: FailingPlay(error))
+
+
+class NotReportedTest(unittest.TestCase):
+    def test_each_seed_that_ends_by_an_error_is_named(self):
+        report = played_with(KeyError("power"))
+        self.assertFalse(report.good)
+        self.assertEqual(
+            [(one.rule, one.case, one.seed) for one in report.violations],
+            [(REPORTS, "power", 7), (REPORTS, "power", 8)],
+        )
+        for word in ("power did not report", "KeyError: 'power'", "test_drill_reports.py"):
+            self.assertIn(word, report.text())
+
+    def test_too_many_processes_are_bad_input_and_no_missing_report(self):
+        made = mock.Mock(side_effect=NoPorts("fewer processes are allowed"))
+        self.assertRaisesRegex(NoPorts, "fewer processes", played, "power", range(7, 8), 3, None, made)
+
+    def test_the_command_names_it_and_exits_1(self):
+        with mock.patch.object(power_processes, "Play", side_effect=OSError("no socket")):
+            ended = CliRunner().invoke(drill, ["power", "--seeds", "1", "--processes", "3"])
+        self.assertEqual(ended.exit_code, 1, ended.output)
+        self.assertIn(
+            "BROKEN the drill reports: case power, seed 1, 0 ms: power did not report: OSError: no socket", ended.output
+        )
+
+    def test_a_part_that_fails_or_was_not_started_is_named(self):
+        good = Report("gangs", 1, 1)
+        outcomes = gathered({"gangs": lambda: good, "power": lambda: {}["power"]}, 1)
+        self.assertIs(report_of(outcomes, "gangs"), good)
+        with self.assertRaises(NotReported) as failed:
+            report_of(outcomes, "power")
+        self.assertEqual(failed.exception.part, "power")
+        self.assertRegex(str(failed.exception), "^power did not report: KeyError: 'power' .*line")
+        self.assertRaisesRegex(
+            NotReported, "^outages did not report: only gangs, power", report_of, outcomes, "outages"
+        )
+
+    def test_a_command_that_fails_or_hangs_is_named(self):
+        with tempfile.TemporaryDirectory() as name:
+            child = Child("k1.found", Path(name) / "k1", ("no-such-command",))
+            self.assertRaisesRegex(
+                NotReported, "k1.found did not report: `no-such-command` ends with 2", child.run_to_end, 300.0
+            )
+            self.assertRaisesRegex(NotReported, "takes longer than 0 s", child.run_to_end, 0.0)
+            self.assertFalse(child.up)
+
+
+class OpenQuestionsTest(unittest.IsolatedAsyncioTestCase):
+    """A client whose keepers are slow to answer may have no place for another question."""
+
+    async def test_it_waits_for_a_place(self):
+        operator = object.__new__(pieces_processes.Operator)
+        operator.answers, tries = {1: "agreed"}, []
+
+        def say(piece, order):
+            tries.append(order)
+            if len(tries) < 3:
+                raise TooMany("64 are open")
+            return 1
+
+        operator.say = say
+        self.assertEqual(await operator.ask("power", "steer", 60.0), "agreed")
+        self.assertEqual(tries, ["steer"] * 3)
+        operator.say = mock.Mock(side_effect=TooMany("64 are open"))
+        self.assertIsNone(await operator.ask("power", "steer", 0.05))
+
+
+class PortsTest(unittest.TestCase):
+    def test_blocks_of_two_drills_differ_until_one_ends(self):
+        with Ports(FIRST, LAST, block=10) as one, Ports(FIRST, LAST, block=10) as other:
+            self.assertEqual((one.take(), other.take()), (FIRST + 1, FIRST + 11))
+            self.assertRaisesRegex(NoPorts, "in use by other drills", Ports, FIRST, LAST, 10)
+        with Ports(FIRST, LAST, block=10) as again:
+            self.assertEqual(again.take(), FIRST + 1)
+
+    def test_a_port_on_which_a_stranger_listens_is_passed_over(self):
+        with socket.create_server(("127.0.0.1", FIRST + 2)), Ports(FIRST, LAST, block=10) as ports:
+            self.assertEqual([ports.take(), ports.take()], [FIRST + 1, FIRST + 3])
+
+
+if __name__ == "__main__":
+    unittest.main()
