Relay closes all its listeners; its tests wait for what comes, not for 150 ms

Seen: with -W always::ResourceWarning the relay's tests leave sockets open, and on a core shared with other work two of four fail: 16 of 20 frames were back after the fixed 150 ms. Cause: a listener whose task was cancelled before it began to serve was never closed (Relay.run), and the test closed its own listener in a scope that was cancelled. Change: the relay's own exit stack closes them; the tests wait up to 180 s until nothing is on its way, and then the 150 ms as before for what should not come.

--- a/brookreach/drills/relay.py
+++ b/brookreach/drills/relay.py
@@ -11,6 +11,7 @@
 import random
 from collections import Counter
 from collections.abc import Iterable
+from contextlib import AsyncExitStack
 from dataclasses import dataclass, field
 
 import anyio
@@ -61,10 +62,11 @@
         return [self.ways[a, b] for a in one for b in sorted(others) if (a, b) in self.ways]
 
     async def run(self, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED) -> None:
-        """Until cancelled; has started when all ports listen."""
-        async with anyio.create_task_group() as tasks:
+        """Until cancelled; has started when all ports listen. All are closed, also where one can't listen."""
+        async with AsyncExitStack() as closes, anyio.create_task_group() as tasks:
             for port in self.ports:
                 listener = await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=port.listen)
+                await closes.enter_async_context(listener)
                 tasks.start_soon(self._serve, listener, port)
             task_status.started()
 
@@ -72,8 +74,7 @@
         async def came(stream: anyio.abc.SocketStream) -> None:
             await self._both(stream, port)
 
-        async with listener:
-            await listener.serve(came)
+        await listener.serve(came)
 
     async def _both(self, near: anyio.abc.SocketStream, port: Port) -> None:
         """One connection, until either end ends it: then both ends do."""
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -15,6 +15,7 @@
 from brookreach.fleet.seams import DiskError, Kept, Save
 
 PORT = 19390
+WAIT_S = 180.0  # for what takes a moment on an idle machine
 
 
 def entry(index, term=1, octets=b""):
@@ -135,8 +136,11 @@
 class RelayTest(unittest.TestCase):
     """Between two sockets of this process."""
 
-    def played(self, turn, say=20):
-        """What comes through when `turn` has set the ways; frames are said in order, answered alike."""
+    def played(self, turn, over, say=20):
+        """What comes through when `turn` has set the ways; frames are said in order, answered alike.
+
+        It ends once `over(heard, back, relay)` says that nothing is on its way any more.
+        """
 
         async def play():
             heard, back, at = [], [], next(ports)
@@ -152,9 +156,9 @@
                 async for one in frames(stream):
                     back.append(one)
 
-            with anyio.fail_after(20):
-                async with anyio.create_task_group() as tasks:
-                    listener = await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=at + 1)
+            with anyio.fail_after(WAIT_S):
+                listener = await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=at + 1)
+                async with listener, anyio.create_task_group() as tasks:
                     tasks.start_soon(listener.serve, serve)
                     await tasks.start(through.run)
                     async with await anyio.connect_tcp("127.0.0.1", at) as stream:
@@ -162,27 +166,34 @@
                         turn(through.ways["a", "b"], through.ways["b", "a"])
                         for nth in range(say):
                             await stream.send(framed(b"%d" % nth))
-                        await anyio.sleep(0.15)
+                        while not over(heard, back, through):
+                            await anyio.sleep(0.01)
+                        await anyio.sleep(0.15)  # what should not come would still
                         tasks.cancel_scope.cancel()
-                    await listener.aclose()
             return heard, back, through
 
         return anyio.run(play)
 
     def test_as_it_is(self):
-        heard, back, _ = self.played(lambda there, here: None)
+        heard, back, _ = self.played(lambda there, here: None, lambda heard, back, _: len(back) == 20)
         self.assertEqual(heard, [b"%d" % nth for nth in range(20)])
         self.assertEqual(back, [b"re %d" % nth for nth in range(20)])
 
     def test_one_way_cut(self):
-        heard, back, _ = self.played(lambda there, here: setattr(here, "cut", True))
+        heard, back, _ = self.played(
+            lambda there, here: setattr(here, "cut", True),
+            lambda heard, back, through: through.ways["b", "a"].seen["cut"] == 20,
+        )
         self.assertEqual((len(heard), back), (20, []))
 
     def test_doubled_overtaken_changed(self):
         def turn(there, here):
             there.double, there.spread_ms, here.change = 1.0, 20.0, 1.0
 
-        heard, back, through = self.played(turn)
+        heard, back, through = self.played(
+            turn,
+            lambda heard, back, through: len(heard) == 40 and through.ways["b", "a"].seen["changed"] == len(back) == 40,
+        )
         self.assertEqual(sorted(heard), sorted([b"%d" % nth for nth in range(20)] * 2))
         self.assertNotEqual(heard, sorted(heard, key=int))
         self.assertEqual(through.ways["b", "a"].seen["changed"], len(back))
