--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,117 @@
+"""CI passes over just the failures that KNOWN-RED.txt names, and refuses a list that is wrong or out of date."""
+
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+CI = Path(__file__).resolve().parent.parent / ".ci"
+sys.path.insert(0, str(CI))
+import known_red  # noqa: E402
+
+sys.path.remove(str(CI))
+
+SAMPLE = """
+import unittest
+
+class Sample(unittest.TestCase):
+    def test_good(self): pass
+    def test_red(self): self.fail("as known")
+    def test_parts(self):
+        for one in range(3):
+            with self.subTest(one): self.assertEqual(one, 1)
+    def test_error(self): raise KeyError("x")
+    @unittest.expectedFailure
+    def test_unexpected(self): pass
+    @unittest.skip("not here")
+    def test_skipped(self): pass
+"""
+REDS = ("test_error", "test_parts", "test_red", "test_unexpected")
+
+
+def line(test, cause="the cause", issue="issue 40"):
+    return f"tests.test_sample.Sample.{test} | {cause} | {issue}\n"
+
+
+class RunTest(unittest.TestCase):
+    """The command in a project of its own, with the tests named in it alone."""
+
+    def run_ci(self, listed=None, without=(), sample=SAMPLE):
+        with tempfile.TemporaryDirectory() as folder:
+            root = Path(folder)
+            (root / ".ci").mkdir()
+            (root / "tests").mkdir()
+            (root / ".ci" / "known_red.py").write_text((CI / "known_red.py").read_text())
+            for name in without:
+                sample = sample.replace(f"def {name}(self)", f"def not_{name}(self)")
+            (root / "tests" / "__init__.py").touch()
+            (root / "tests" / "test_sample.py").write_text(sample)
+            if listed is not None:
+                (root / "KNOWN-RED.txt").write_text(listed)
+            command = [sys.executable, str(root / ".ci" / "known_red.py")]
+            ended = subprocess.run(command, capture_output=True, text=True, timeout=300)
+        return ended.returncode, ended.stdout.splitlines(), ended.stderr
+
+    def test_without_a_list_each_failure_counts(self):
+        code, told, _ = self.run_ci()
+        self.assertEqual((code, told), (1, [f"failed: tests.test_sample.Sample.{one}" for one in REDS]))
+        self.assertEqual(self.run_ci(without=REDS)[:2], (0, []))
+
+    def test_listed_failures_are_printed_and_passed_over(self):
+        code, told, _ = self.run_ci(
+            line("test_red") + "\n" + line("test_parts", "another"), without=("test_error", "test_unexpected")
+        )
+        self.assertEqual(code, 0)
+        self.assertEqual(
+            told,
+            [f"known red, passed over: {one.strip()}" for one in (line("test_red"), line("test_parts", "another"))],
+        )
+
+    def test_only_the_listed_ones(self):
+        code, told, _ = self.run_ci(line("test_red"), without=("test_error", "test_unexpected"))
+        self.assertEqual((code, told[1:]), (1, ["failed: tests.test_sample.Sample.test_parts"]))
+
+    def test_a_listed_test_that_passes_or_is_skipped_must_come_off(self):
+        for name in ("test_good", "test_skipped"):
+            code, told, _ = self.run_ci(line(name), without=REDS)
+            self.assertEqual(
+                (code, told),
+                (1, [f"KNOWN-RED.txt lists tests.test_sample.Sample.{name}, which did not fail: take its line off"]),
+            )
+
+    def test_a_list_that_is_wrong_is_refused_before_any_test(self):
+        cases = (
+            ("".join(line(one) for one in (*REDS,)), "4 tests are listed; 3 at most"),
+            (line("test_none"), "tests.test_sample.Sample.test_none: no such test"),
+            ("tests.test_sample.Sample | a class | issue 40\n", "tests.test_sample.Sample: no such test"),
+            (line("test_red") * 2, "line 2: tests.test_sample.Sample.test_red stands there twice"),
+            ("tests.test_sample.Sample.test_red | no issue\n", "line 1: .* `test id | cause | issue` is allowed"),
+            (line("test_red", cause=""), "line 1: .* is allowed"),
+        )
+        for listed, why in cases:
+            with self.subTest(listed):
+                code, told, errors = self.run_ci(listed)
+                self.assertEqual((code, told), (2, []))
+                self.assertRegex(errors, f"^KNOWN-RED.txt: {why}".replace("|", r"\|"))
+
+    def test_a_file_that_can_not_be_read_or_no_test_at_all_fails(self):
+        code, told, _ = self.run_ci(sample="import none_such\n")
+        self.assertEqual((code, told), (1, ["failed: unittest.loader._FailedTest.tests.test_sample"]))
+        self.assertEqual(self.run_ci(sample="")[:2], (1, ["no test ran"]))
+
+    def test_a_class_that_can_not_be_set_up_is_not_passed_over(self):
+        sample = SAMPLE + "    @classmethod\n    def setUpClass(cls): raise OSError('in use')\n"
+        code, told, _ = self.run_ci(line("test_red"), sample=sample)
+        self.assertEqual(code, 1)
+        self.assertIn("failed: setUpClass (tests.test_sample.Sample)", told)
+
+
+class ListTest(unittest.TestCase):
+    def test_the_list_of_this_project_is_in_form(self):
+        path = CI.parent / known_red.FILE
+        known_red.read(path.read_text() if path.exists() else "")
+
+
+if __name__ == "__main__":
+    unittest.main()
