--- a/brookreach/capacity/model.py
+++ b/brookreach/capacity/model.py
@@ -45,6 +45,7 @@
 Evidence = Literal["measured", "derived", "guessed"]
 Unit = Literal["count", "1/s", "bytes", "bytes/s", "seconds", "share"]
 
+SITUATIONS: tuple[str, ...] = get_args(Situation)
 ROLES: tuple[str, ...] = get_args(Role)
 UNITS: dict[str, Unit] = {
     "memory": "bytes",
--- a/brookreach/capacity/table.py
+++ b/brookreach/capacity/table.py
@@ -131,6 +131,18 @@
     return table(head, lines)
 
 
+def coverage_table(capacity: model.Capacity) -> str:
+    """For each role and resource, in how many situations it has a figure: what nobody has looked at shows as none."""
+    resources = list(model.UNITS)
+    lines = []
+    for role in model.ROLES:
+        found = [
+            {one.situation for one in capacity.group if (one.role, one.resource) == (role, it)} for it in resources
+        ]
+        lines.append((role, *(str(len(situations)) if situations else "none" for situations in found)))
+    return table(("role", *resources), lines)
+
+
 def sizes_table(capacity: model.Capacity) -> str:
     lines = [(f"`{name}`", f"{size.value:,.6g}", size.origin, size.note) for name, size in capacity.size.items()]
     return table(("size", "value", "from", "note"), lines)
@@ -164,6 +176,7 @@
     ]
     if role is None:
         parts += [
+            (f"Situations with a figure, of {len(model.SITUATIONS)}", coverage_table(capacity)),
             ("Budgets", budgets_table(capacity)),
             ("Sizes", sizes_table(capacity)),
             ("Slopes", slopes_table(capacity)),
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -59,7 +59,7 @@
     def test_each_role_has_figures_state_and_the_six_situations_are_looked_at(self):
         for role in model.ROLES:
             self.assertTrue([one for one in self.capacity.group if one.role == role], role)
-        self.assertEqual({one.situation for one in self.capacity.group}, set(model.Situation.__args__))
+        self.assertEqual({one.situation for one in self.capacity.group}, set(model.SITUATIONS))
         self.assertTrue({one.role for one in self.capacity.state}.issuperset(set(model.ROLES)))
 
     def test_every_size_slope_and_budget_is_used(self):
@@ -133,6 +133,14 @@
         (state,) = arithmetic.states_of(small())
         self.assertEqual((state.count, state.total_bytes, state.evidence), (100.0, 5000.0, "derived"))
 
+    def test_what_nobody_has_looked_at_shows_as_none(self):
+        lines = table.coverage_table(small()).splitlines()
+        cells = {line.split(" | ")[0].strip("| "): line.strip("| ").split(" | ")[1:] for line in lines[2:]}
+        at = {name: place for place, name in enumerate(model.UNITS)}
+        self.assertEqual(cells["marshal control"][at["bytes/s in"]], "1")
+        self.assertEqual(cells["marshal control"][at["memory"]], "none")
+        self.assertEqual(set(cells["client front"]), {"none"})
+
     def test_quantities_as_people_read_them(self):
         for value, unit, text in (
             (604e-6, "seconds", "604 us"),
