--- a/brookreach/capacity/arithmetic.py
+++ b/brookreach/capacity/arithmetic.py
@@ -37,7 +37,9 @@
         """Of its budget; None where none is given."""
         if self.budget is None:
             return None
-        return self.value / self.budget if self.budget else math.inf
+        if not self.budget:
+            return math.inf if self.value else 0.0
+        return self.value / self.budget
 
 
 @dataclass(frozen=True, slots=True)
@@ -151,10 +153,15 @@
         mechanism=figure.mechanism,
         lacks=figure.lacks,
         formula=formula_of(figure.terms),
-        doubled=total(figure.terms, doubled) / value if value else 1.0,
+        doubled=_multiple(total(figure.terms, doubled), value),
     )
 
 
+def _multiple(larger: float, value: float) -> float:
+    """1 where there is nothing, or no bound, to multiply."""
+    return larger / value if value and math.isfinite(value) else 1.0
+
+
 def sums_of(rows: Iterable[Row]) -> list[Row]:
     """By role, resource, situation and budget: the sum of those that add up, the worst of the others."""
     groups: dict[tuple[str, str, str, str], list[Row]] = {}
@@ -174,7 +181,7 @@
         worst,
         value=value,
         evidence="guessed" if "guessed" in marks else "derived",
-        doubled=grown / value if value else 1.0,
+        doubled=_multiple(grown, value),
         parts=len(group),
     )
 
--- a/brookreach/capacity/model.py
+++ b/brookreach/capacity/model.py
@@ -64,7 +64,12 @@
 MISSING = "missing"  # the mechanism that the code does not have
 
 Number = Annotated[float, msgspec.Meta(ge=0.0, lt=1e18, description="a number from 0 to 1e18")]
-Text = Annotated[str, msgspec.Meta(min_length=1, max_length=300, description="a text of 1 to 300 characters")]
+Text = Annotated[
+    str, msgspec.Meta(pattern=r"^[^|\n]{1,300}\Z", description="a text of 1 to 300 characters on one line, without |")
+]
+Remark = Annotated[
+    str, msgspec.Meta(pattern=r"^[^|\n]{0,300}\Z", description="a text of up to 300 characters on one line, without |")
+]
 Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z][a-z0-9_]{0,59}\Z", description="a name of a-z, 0-9 and _")]
 Mechanism = Annotated[
     str,
@@ -118,7 +123,7 @@
     what: Text
     terms: tuple[Term, ...]
     mechanism: Mechanism
-    lacks: str = ""  # the mechanism that would hold it within its budget, where the code has none
+    lacks: Remark = ""  # the mechanism that would hold it within its budget, where the code has none
 
 
 class Group(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -127,7 +127,10 @@
         changed = arithmetic.with_sizes(small(), {"nodes": 200})
         self.assertEqual({row.what: row.value for row in arithmetic.rows_of(changed)}["rows"], 2600.0)
         none = {row.what: row for row in arithmetic.rows_of(arithmetic.with_sizes(small(), {"zones": 0}))}
-        self.assertEqual((none["rows"].value, none["rows"].ratio), (math.inf, math.inf))
+        self.assertEqual((none["rows"].value, none["rows"].ratio, none["rows"].doubled), (math.inf, math.inf, 1.0))
+        self.assertIn("without bound", table.page(arithmetic.with_sizes(small(), {"zones": 0})))
+        nothing = arithmetic.rows_of(small(SMALL.replace("[[1_000]]", "[[0]]").replace('["idle_rate"]', "[0]")))
+        self.assertEqual({row.what: row.ratio for row in nothing}, {"rows": math.inf, "leases": 0.0, "squares": None})
 
     def test_state_is_rows_times_bytes(self):
         (state,) = arithmetic.states_of(small())
--- a/tests/test_capacity_input.py
+++ b/tests/test_capacity_input.py
@@ -142,6 +142,10 @@
             "group[1].budget: 'rate' stands there; allowed: a budget in seconds: there is none",
         ),
         ("figures = [{ what", "figure = [{ what", "group[1].figure: [{'what': 'squares'"),
+        ('what = "squares"', 'what = "a | b"', "group[1].figures[0].what: 'a | b' stands there; allowed: a text"),
+        ("value = 100,", "value = true,", "size.nodes.value: True stands there; allowed: a number from 0"),
+        ("value = 100,", "value = 1e18,", "size.nodes.value: 1e+18 stands there; allowed: a number from 0"),
+        ("[[1_000]]", "[[true]]", "budget.rate.terms[0][0]: True stands there; allowed: a number from 0"),
         ('what = "squares"', "what = 3", "group[1].figures[0].what: 3 stands there; allowed: a text"),
         (
             'bytes_each = "row_bytes"',
