--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -59,7 +59,7 @@
     def test_each_role_has_figures_state_and_the_six_situations_are_looked_at(self):
         for role in model.ROLES:
             self.assertTrue([one for one in self.capacity.group if one.role == role], role)
-        self.assertEqual({one.situation for one in self.capacity.group}, set(model.Situation.__args__))
+        self.assertEqual({one.situation for one in self.capacity.group}, set(model.SITUATIONS))
         self.assertTrue({one.role for one in self.capacity.state}.issuperset(set(model.ROLES)))
 
     def test_every_size_slope_and_budget_is_used(self):
@@ -127,12 +127,23 @@
         changed = arithmetic.with_sizes(small(), {"nodes": 200})
         self.assertEqual({row.what: row.value for row in arithmetic.rows_of(changed)}["rows"], 2600.0)
         none = {row.what: row for row in arithmetic.rows_of(arithmetic.with_sizes(small(), {"zones": 0}))}
-        self.assertEqual((none["rows"].value, none["rows"].ratio), (math.inf, math.inf))
+        self.assertEqual((none["rows"].value, none["rows"].ratio, none["rows"].doubled), (math.inf, math.inf, 1.0))
+        self.assertIn("without bound", table.page(arithmetic.with_sizes(small(), {"zones": 0})))
+        nothing = arithmetic.rows_of(small(SMALL.replace("[[1_000]]", "[[0]]").replace('["idle_rate"]', "[0]")))
+        self.assertEqual({row.what: row.ratio for row in nothing}, {"rows": math.inf, "leases": 0.0, "squares": None})
 
     def test_state_is_rows_times_bytes(self):
         (state,) = arithmetic.states_of(small())
         self.assertEqual((state.count, state.total_bytes, state.evidence), (100.0, 5000.0, "derived"))
 
+    def test_what_nobody_has_looked_at_shows_as_none(self):
+        lines = table.coverage_table(small()).splitlines()
+        cells = {line.split(" | ")[0].strip("| "): line.strip("| ").split(" | ")[1:] for line in lines[2:]}
+        at = {name: place for place, name in enumerate(model.UNITS)}
+        self.assertEqual(cells["marshal control"][at["bytes/s in"]], "1")
+        self.assertEqual(cells["marshal control"][at["memory"]], "none")
+        self.assertEqual(set(cells["client front"]), {"none"})
+
     def test_quantities_as_people_read_them(self):
         for value, unit, text in (
             (604e-6, "seconds", "604 us"),
