--- a/brookreach/cli/scale.py
+++ b/brookreach/cli/scale.py
@@ -10,6 +10,7 @@
     "marshal": "brookreach.cli.scale_marshal:marshal",
     "control": "brookreach.cli.scale_control:control",
     "storm": "brookreach.cli.scale_control:storm",
+    "counts": "brookreach.cli.scale_control:counts",
     "hollow": "brookreach.cli.scale_control:hollow",
 }
 
--- a/brookreach/cli/scale_control.py
+++ b/brookreach/cli/scale_control.py
@@ -215,3 +215,18 @@
     out(as_json, told, lambda: storm_table.text(found))
     if plot is not None:
         storm_table.draw(found, plot)
+
+
+@click.command()
+@click.option("--marshals", type=Numbers(2, 400), default="25,50,100", show_default=True)
+@click.option("--nodes", type=Numbers(LEAST_NODES, 2_000), default="50,200", show_default=True)
+@SEED
+@JSON
+def counts(marshals: tuple[int, ...], nodes: tuple[int, ...], seed: int, as_json: bool) -> None:
+    """Bytes and rows that marshals are told, exactly: the same code under a virtual clock, in one process."""
+    from brookreach.fleet.seams import Timing
+    from brookreach.scale import control_counts
+
+    tell = progress("scale counts", as_json)
+    found = control_counts.run(marshals, nodes, seed, Timing(), tell)
+    out(as_json, control_counts.told(found, seed), lambda: control_counts.text(found))
--- a/brookreach/scale/control.py
+++ b/brookreach/scale/control.py
@@ -20,7 +20,7 @@
 from brookreach.scale.control_day import DAY_S, FULL_DAY, Agreed, Day, Outcome, play
 from brookreach.scale.hollow_protocol import Figures, Step
 
-QUIET_S, IDLE_S, REACHED_S = 2.0, 6.0, 60.0
+QUIET_S, IDLE_S, REACHED_S = 3.0, 12.0, 60.0
 TELLINGS_A_SECOND = 1_000  # records x marshals; by it the seconds of a share are chosen, so that one core is enough
 
 
--- a/tests/test_scale_control.py
+++ b/tests/test_scale_control.py
@@ -6,17 +6,13 @@
 import sys
 import tempfile
 import unittest
-from collections import Counter
 from pathlib import Path
 
 from click.testing import CliRunner
 
 from brookreach.cli.main import main
-from brookreach.fleet import words
 from brookreach.fleet.seams import Timing
-from brookreach.model.keepers_crowd import Crowd, seen
-from brookreach.outages.rows import MARSHALS, NODES
-from brookreach.scale import control, storm, storm_table
+from brookreach.scale import control, control_counts, storm, storm_table
 from brookreach.scale.control import last_ms
 from brookreach.scale.control_cluster import Size, shares
 from brookreach.scale.control_day import FULL_DAY, RACK, Agreed, share
@@ -24,60 +20,33 @@
 from brookreach.scale.hollow_protocol import Figures, Step
 
 HERE = Path(__file__).parent.parent
-SETTLED_MS = 5_000.0
-
-
-class RowsCrowd(Crowd):
-    """Keepers and marshals under the virtual clock; rows that marshals are told are counted by table."""
-
-    def __init__(self, nodes, seed=3):
-        self.rows = Counter()
-        super().__init__(nodes, seed, Timing(), 1.0)
-
-    def _say(self, source, target, body):
-        if target.startswith("m") and isinstance(body, words.Changes | words.Whole):
-            self.rows.update(row.table for row in body.rows if row.key)
-        super()._say(source, target, body)
-
-    def start(self, marshals):
-        """All marshals come anew at once, until it is quiet again."""
-        self.run(SETTLED_MS, lambda: bool(self.leader()))
-        for number in range(marshals):
-            self.add(f"m{number}")
-        assert self.run(60_000.0, lambda: len(self.told) == marshals)
-        self.run(SETTLED_MS)
 
 
 class WorkTests(unittest.TestCase):
     NODES = 60
 
-    def started(self, marshals):
-        crowd = RowsCrowd(self.NODES)
-        crowd.start(marshals)
-        return crowd
+    def counted(self, marshals):
+        return control_counts.count(marshals, self.NODES, 3, Timing())
 
     def test_a_start_of_all_tells_each_marshal_of_each_and_of_all_nodes_at_most_once(self):
         """The bounds are what is told today: the square of the marshals, and marshals x nodes. To be tightened."""
         for marshals in (8, 16, 32):
-            rows = self.started(marshals).rows
-            self.assertLessEqual(rows[MARSHALS], marshals**2)  # 64, 256, 1,024
-            self.assertLessEqual(rows[NODES], marshals * self.NODES)  # 480, 960, 1,920
-        self.assertGreater(rows[NODES], 0)  # the counter counts
-
-    def test_a_change_costs_a_marshal_the_same_whatever_their_number(self):
-        costs = []
-        for marshals in (8, 32):
-            crowd = self.started(marshals)
-            crowd.add("n1", "agent")
-            crowd.run(SETTLED_MS)
-            crowd.rows.clear()
-            before = crowd.kinds["Changes"]
-            for standing, life in (("draining", 1), ("down", 1), ("ready", 2)):
-                crowd.ask("n1", seen("n1", standing, life))
-                crowd.run(500.0)
-            self.assertEqual(crowd.rows, {NODES: 3 * marshals})  # each record is told to each marshal, once
-            costs.append((crowd.kinds["Changes"] - before) / marshals)
-        self.assertLess(max(costs) / min(costs), 1.05)
+            found = self.counted(marshals)
+            self.assertLessEqual(found.start_marshal_rows, marshals**2)  # 64, 256, 1,024
+            self.assertLessEqual(found.start_node_rows, marshals * self.NODES)  # 480, 960, 1,920
+            self.assertGreater(found.start_node_rows, 0)  # the counter counts
+
+    def test_a_record_costs_a_marshal_the_same_whatever_their_number(self):
+        few, many = self.counted(8), self.counted(32)
+        self.assertEqual((few.rows_a_record, many.rows_a_record), (1.0, 1.0))  # told to each, once
+        self.assertLess(many.bytes_a_record / few.bytes_a_record, 1.05)
+        self.assertLess(many.idle_bytes_in / few.idle_bytes_in, 1.05)
+
+    def test_the_bytes_of_a_start_are_what_the_fitted_line_says_at_a_size_that_it_has_not_seen(self):
+        quiet = lambda done, of: None  # noqa: E731
+        line = control_counts.slopes(control_counts.run((8, 16, 32), (50, 80), 3, Timing(), quiet))[0]
+        seen = control_counts.count(24, 120, 3, Timing()).start_bytes
+        self.assertLess(abs(line.at({"marshals": 24.0, "nodes": 120.0}) / seen - 1.0), 0.05)
 
 
 class ProcessesTests(unittest.TestCase):
