Scope: entries and assignments by their names; a change's cost through one marshal's state

The room of a large service stands once. scope_size measures a change as a marshal hears it, also that of a restart within the hold-down.

--- a/brookreach/drills/scope_size.py
+++ b/brookreach/drills/scope_size.py
@@ -20,11 +20,13 @@
 from brookreach.scope.placement import Placement
 from brookreach.scope.placer import Placer
 from brookreach.scope.settings import Settings
+from brookreach.scope.state import ScopeState
 from brookreach.scope.subset import Node, subsets
-from brookreach.scope.view import Marshal, Service, View, view_of
+from brookreach.scope.view import Marshal, Service, View, difference, view_of
 
 ZONES = (("r0", "z0"), ("r0", "z1"), ("r0", "z2"), ("r1", "z3"), ("r1", "z4"), ("r1", "z5"))
 TAIL = 1.2  # exponent of the Pareto distribution of services' sizes
+LEASE_MS = 1_000_000
 DAY_BUDGET_S = 0.042 * 86_400  # 4.2% of a core
 # Guessed: a node's row as JSON is 163 bytes (1.96 MB of 12,000); the others are taken to be as long or shorter.
 NODE_BYTES, ROUTE_BYTES, TENANT_BYTES, SERVICE_BYTES = 163, 160, 80, 120
@@ -65,7 +67,7 @@
 
 
 def moved(before: Placement, after: Placement) -> int:
-    """Seats taken and left."""
+    """Assignments made and ended."""
     return sum(len(set(before.holders[name]) ^ set(after.holders[name])) for name in before.holders)
 
 
@@ -78,12 +80,13 @@
     return {
         "sizes": msgspec.to_builtins(sizes),
         "seed": seed,
-        "seats": sum(map(len, placement.holders.values())),
+        "assignments": sum(map(len, placement.holders.values())),
         "short services": len(placement.short),
         "marshals of a service": _spread([len(names) for names in placement.holders.values()]),
         "rows held": rows_held(view, placer, settings),
         "whole placement, s of processor": round(whole_s, 3),
         "one change": one_change(view, placer, placement, changes, random.Random(seed)),
+        "through one marshal's state": through_state(view, changes, random.Random(seed), settings),
         "view, bytes on the line": len(msgspec.msgpack.encode(view)),
         "memory, bytes": memory(view, settings),
         "RPCs a second, a service and marshal": judged(view, placement, sizes),
@@ -135,7 +138,7 @@
                 shares.append(moved(placement, after) / max(1, 2 * len(placement.of(gone.name))))
     return {
         "changes": 2 * changes,
-        "seats moved over its own": _spread(shares),
+        "assignments moved over its own": _spread(shares),
         "services placed again": _spread(services),
         "hashes": _spread(scores),
         "ms of processor": _spread([one * 1000 for one in times]),
@@ -143,6 +146,29 @@
     }
 
 
+def through_state(view: View, changes: int, chance: random.Random, settings: Settings) -> dict[str, Any]:
+    """Processor time of a change as a marshal hears it: the next view, its placement, what follows for the marshal."""
+    state = ScopeState(view.marshals[0].name, settings)
+    state.leased(1, LEASE_MS)
+    state.heard_whole(view, 0)
+    members, sessions = [], []
+    for _ in range(changes):
+        gone = chance.choice(view.marshals[1:])
+        back = msgspec.structs.replace(gone, session=2)
+        rest = [one for one in view.marshals if one is not gone]
+        members.append(_heard(state, [*rest], view))
+        members.append(_heard(state, [*rest, gone], view))
+        sessions.append(_heard(state, [*rest, back], view))
+    return {"ms, a member came or went": _spread(members), "ms, a restart within the hold-down": _spread(sessions)}
+
+
+def _heard(state: ScopeState, marshals: list[Marshal], view: View) -> float:
+    change = difference(state.view, view_of(state.view.version + 1, marshals, list(view.services)))
+    began = time.process_time()
+    state.heard_change(change, 0)
+    return (time.process_time() - began) * 1000
+
+
 def memory(view: View, settings: Settings) -> int:
     """Of the view and the placer, by the allocator's own count."""
     encoded = msgspec.msgpack.encode(view)
--- a/brookreach/scope/demand.py
+++ b/brookreach/scope/demand.py
@@ -7,6 +7,8 @@
 from brookreach.scope.settings import Caps, Settings
 from brookreach.scope.view import Service
 
+ROOM_UP, ROOM_DOWN = 5, 4  # a large service has room for 5/4 of its nodes' copies
+
 
 class Load(NamedTuple):
     """On one marshal, or of one service on one marshal. RPCs are in thousandths a second, rounded up."""
@@ -50,9 +52,11 @@
     if not is_large(service, settings):
         return count
     subset = settings.subset
-    seats = service.nodes * subset.holders
-    # A quarter of room over, and at least so much that the last node still meets enough marshals that are not full.
-    return max(count, ceiling(seats * 5, subset.nodes * 4), ceiling(seats, subset.nodes) + subset.holders)
+    copies = service.nodes * subset.holders
+    with_room = ceiling(copies * ROOM_UP, subset.nodes * ROOM_DOWN)
+    # The last node still meets enough marshals that are not full.
+    for_the_last = ceiling(copies, subset.nodes) + subset.holders
+    return max(count, with_room, for_the_last)
 
 
 def load_of(service: Service, settings: Settings) -> Load:
--- a/brookreach/scope/seats.py
+++ b/brookreach/scope/entries.py
@@ -19,7 +19,7 @@
 
 
 @dataclass(slots=True)
-class Seat:
+class MarshalEntry:
     """One marshal and what lies on it."""
 
     marshal: Marshal
@@ -33,7 +33,7 @@
 
 
 @dataclass(slots=True)
-class Placed:
+class ServiceEntry:
     """One service, its marshals, and what was looked at to find them."""
 
     order: Order
@@ -63,12 +63,12 @@
     return Load(*sums)
 
 
-def seat_of(marshal: Marshal, settings: Settings) -> Seat:
-    return Seat(marshal, marshal.name.encode(), demand.cap_of(settings.caps, marshal.weight))
+def marshal_entry(marshal: Marshal, settings: Settings) -> MarshalEntry:
+    return MarshalEntry(marshal, marshal.name.encode(), demand.cap_of(settings.caps, marshal.weight))
 
 
-def placed_of(service: Service, settings: Settings) -> Placed:
+def service_entry(service: Service, settings: Settings) -> ServiceEntry:
     """Not yet placed."""
     order = rendezvous.score(rendezvous.key_of("order"), service.name.encode(), 1), service.name
     wanted, load = demand.wanted(service, settings), demand.load_of(service, settings)
-    return Placed(order, service, wanted, load, rendezvous.key_of("place", service.name))
+    return ServiceEntry(order, service, wanted, load, rendezvous.key_of("place", service.name))
--- a/brookreach/scope/placer.py
+++ b/brookreach/scope/placer.py
@@ -12,8 +12,18 @@
 
 from brookreach.scope import demand, rendezvous
 from brookreach.scope.demand import Load
+from brookreach.scope.entries import (
+    ALL,
+    NONE,
+    MarshalEntry,
+    Order,
+    ServiceEntry,
+    Work,
+    marshal_entry,
+    service_entry,
+    total,
+)
 from brookreach.scope.placement import Placement, Short
-from brookreach.scope.seats import ALL, NONE, Order, Placed, Seat, Work, placed_of, seat_of, total
 from brookreach.scope.settings import Settings
 from brookreach.scope.view import Marshal, Service, View
 from brookreach.scope.zones import Zone, quotas, zone_order
@@ -24,10 +34,10 @@
 
     def __init__(self, settings: Settings):
         self._settings = settings
-        self._seats: dict[str, Seat] = {}
-        self._zones: dict[Zone, dict[str, Seat]] = {}
-        self._placed: dict[str, Placed] = {}
-        self._by_order: dict[Order, Placed] = {}
+        self._marshals: dict[str, MarshalEntry] = {}
+        self._zones: dict[Zone, dict[str, MarshalEntry]] = {}
+        self._services: dict[str, ServiceEntry] = {}
+        self._by_order: dict[Order, ServiceEntry] = {}
         self._due: list[Order] = []
         self._is_due: set[Order] = set()
         self.work = Work()
@@ -40,23 +50,23 @@
             self.work.rebuilds += 1
             self._mark_all()
         else:
-            for seat in joined:
-                self._mark_concerned(seat)
+            for entry in joined:
+                self._mark_concerned(entry)
         self._settle()
         return self._placement()
 
     def load(self, marshal: str) -> Load:
         """What lies on it now."""
-        return total(self._seats[marshal].taken.values())
+        return total(self._marshals[marshal].taken.values())
 
     # --- what changed ---
 
     def _take_services(self, view: View) -> None:
         now = {one.name: one for one in view.services}
-        for name in [name for name in self._placed if name not in now]:
+        for name in [name for name in self._services if name not in now]:
             self._remove_service(name)
         for name, service in now.items():
-            placed = self._placed.get(name)
+            placed = self._services.get(name)
             if placed is None:
                 self._add_service(service)
             elif placed.service != service:
@@ -66,55 +76,55 @@
                 self._mark(placed.order)
 
     def _add_service(self, service: Service) -> None:
-        placed = placed_of(service, self._settings)
-        self._placed[service.name] = self._by_order[placed.order] = placed
+        placed = service_entry(service, self._settings)
+        self._services[service.name] = self._by_order[placed.order] = placed
         self._mark(placed.order)
 
     def _remove_service(self, name: str) -> None:
-        placed = self._placed.pop(name)
+        placed = self._services.pop(name)
         del self._by_order[placed.order]
         self._is_due.discard(placed.order)
         freed = self._forget(placed)
         self._mark_turned(placed.order, freed)
 
-    def _take_marshals(self, view: View) -> list[Seat]:
+    def _take_marshals(self, view: View) -> list[MarshalEntry]:
         now = {one.name: one for one in view.marshals}
         joined = []
-        for name, seat in list(self._seats.items()):
+        for name, entry in list(self._marshals.items()):
             marshal = now.get(name)
-            if marshal is None or (marshal.place, marshal.weight) != (seat.marshal.place, seat.marshal.weight):
-                self._remove_marshal(seat)
+            if marshal is None or (marshal.place, marshal.weight) != (entry.marshal.place, entry.marshal.weight):
+                self._remove_marshal(entry)
         for name, marshal in now.items():
-            if name not in self._seats:
+            if name not in self._marshals:
                 joined.append(self._add_marshal(marshal))
         return joined
 
-    def _add_marshal(self, marshal: Marshal) -> Seat:
-        seat = seat_of(marshal, self._settings)
-        self._seats[marshal.name] = seat
-        self._zones.setdefault(marshal.place, {})[marshal.name] = seat
-        return seat
+    def _add_marshal(self, marshal: Marshal) -> MarshalEntry:
+        entry = marshal_entry(marshal, self._settings)
+        self._marshals[marshal.name] = entry
+        self._zones.setdefault(marshal.place, {})[marshal.name] = entry
+        return entry
 
-    def _remove_marshal(self, seat: Seat) -> None:
-        name, zone = seat.marshal.name, seat.marshal.place
-        del self._seats[name]
+    def _remove_marshal(self, entry: MarshalEntry) -> None:
+        name, zone = entry.marshal.name, entry.marshal.place
+        del self._marshals[name]
         del self._zones[zone][name]
         if not self._zones[zone]:
             del self._zones[zone]
-        for order in [*seat.taken, *seat.refused]:
+        for order in [*entry.taken, *entry.refused]:
             self._by_order[order].looked.discard(name)
             self._by_order[order].holders.discard(name)
             self._mark(order)
 
     def _zone_sizes(self) -> dict[Zone, int]:
-        return {zone: len(seats) for zone, seats in self._zones.items()}
+        return {zone: len(entries) for zone, entries in self._zones.items()}
 
     def _quotas_moved(self, before: dict[Zone, int]) -> bool:
         """Whether any service's share of a zone may be another: zones differ, or one is or was nearly used up."""
         now = self._zone_sizes()
         if before.keys() != now.keys():
             return True
-        most = max((one.wanted for one in self._placed.values()), default=0)
+        most = max((one.wanted for one in self._services.values()), default=0)
         return any(now[zone] != before[zone] and min(now[zone], before[zone]) < most for zone in now)
 
     # --- what is to be placed again ---
@@ -128,25 +138,25 @@
         for order in self._by_order:
             self._mark(order)
 
-    def _mark_concerned(self, seat: Seat) -> None:
+    def _mark_concerned(self, entry: MarshalEntry) -> None:
         """Services that would have looked at this new marshal."""
-        zone, octets, weight = seat.marshal.place, seat.octets, seat.marshal.weight
-        self.work.scores += len(self._placed) * weight
-        for placed in self._placed.values():
+        zone, octets, weight = entry.marshal.place, entry.octets, entry.marshal.weight
+        self.work.scores += len(self._services) * weight
+        for placed in self._services.values():
             lowest = placed.lowest.get(zone, ALL)
             if lowest == ALL or rendezvous.score(placed.key, octets, weight) >= lowest:
                 self._mark(placed.order)
 
-    def _mark_turned(self, order: Order, seats: list[Seat]) -> None:
+    def _mark_turned(self, order: Order, entries: list[MarshalEntry]) -> None:
         """Later services for which one of these marshals is now taken where it was refused, or the other way."""
-        for seat in seats:
-            fits_all = total(seat.taken.values()).within(seat.cap)
-            later = [other for other in seat.refused if other > order]
+        for entry in entries:
+            fits_all = total(entry.taken.values()).within(entry.cap)
+            later = [other for other in entry.refused if other > order]
             if not fits_all:
-                later += [other for other in seat.taken if other > order]
+                later += [other for other in entry.taken if other > order]
             for other in later:
-                fits = seat.load_before(other).plus(self._by_order[other].load).within(seat.cap)
-                if fits != (other in seat.taken):
+                fits = entry.load_before(other).plus(self._by_order[other].load).within(entry.cap)
+                if fits != (other in entry.taken):
                     self._mark(other)
 
     # --- placing ---
@@ -158,9 +168,9 @@
                 self._is_due.discard(order)
                 self._place(self._by_order[order])
 
-    def _place(self, placed: Placed) -> None:
+    def _place(self, placed: ServiceEntry) -> None:
         self.work.services += 1
-        before = {name: self._seats[name].taken[placed.order] for name in placed.holders}
+        before = {name: self._marshals[name].taken[placed.order] for name in placed.holders}
         self._forget(placed)
         order = zone_order(placed.service.name, list(self._zones))
         dealt = quotas(order, placed.wanted, self._zone_sizes())
@@ -171,14 +181,14 @@
             self._spill(placed, rest, missing)
         after = dict.fromkeys(placed.holders, placed.load)
         turned = [name for name in sorted({*before, *after}) if before.get(name) != after.get(name)]
-        self._mark_turned(placed.order, [self._seats[name] for name in turned])
+        self._mark_turned(placed.order, [self._marshals[name] for name in turned])
 
     def _ranked(self, key: bytes, zone: Zone) -> rendezvous.Ranked:
-        seats = self._zones[zone].values()
-        self.work.scores += sum(seat.marshal.weight for seat in seats)
-        return rendezvous.ranked(key, ((seat.marshal.name, seat.octets, seat.marshal.weight) for seat in seats))
+        entries = self._zones[zone].values()
+        self.work.scores += sum(entry.marshal.weight for entry in entries)
+        return rendezvous.ranked(key, ((entry.marshal.name, entry.octets, entry.marshal.weight) for entry in entries))
 
-    def _walk(self, placed: Placed, zone: Zone, ranked: rendezvous.Ranked, quota: int) -> int:
+    def _walk(self, placed: ServiceEntry, zone: Zone, ranked: rendezvous.Ranked, quota: int) -> int:
         """Takes the best that have room; hands back how many are missing."""
         placed.lowest[zone] = ALL if quota else NONE
         for scored, name in ranked:
@@ -190,39 +200,39 @@
             placed.lowest[zone] = ALL
         return quota
 
-    def _spill(self, placed: Placed, rest: rendezvous.Ranked, missing: int) -> None:
+    def _spill(self, placed: ServiceEntry, rest: rendezvous.Ranked, missing: int) -> None:
         """Into other zones, the best first. From then on any new marshal concerns this service."""
         for _, name in rest:
             if missing and name not in placed.looked:
                 missing -= self._look(placed, name)
         placed.lowest.clear()
 
-    def _look(self, placed: Placed, name: str) -> bool:
-        seat = self._seats[name]
+    def _look(self, placed: ServiceEntry, name: str) -> bool:
+        entry = self._marshals[name]
         placed.looked.add(name)
-        if seat.load_before(placed.order).plus(placed.load).within(seat.cap):
-            seat.taken[placed.order] = placed.load
+        if entry.load_before(placed.order).plus(placed.load).within(entry.cap):
+            entry.taken[placed.order] = placed.load
             placed.holders.add(name)
             return True
-        seat.refused.add(placed.order)
+        entry.refused.add(placed.order)
         return False
 
-    def _forget(self, placed: Placed) -> list[Seat]:
+    def _forget(self, placed: ServiceEntry) -> list[MarshalEntry]:
         """Takes the service off all marshals; hands back those that held it."""
-        freed = [self._seats[name] for name in sorted(placed.holders)]
+        freed = [self._marshals[name] for name in sorted(placed.holders)]
         for name in placed.looked:
-            self._seats[name].taken.pop(placed.order, None)
-            self._seats[name].refused.discard(placed.order)
+            self._marshals[name].taken.pop(placed.order, None)
+            self._marshals[name].refused.discard(placed.order)
         placed.looked.clear()
         placed.holders.clear()
         placed.lowest.clear()
         return freed
 
     def _placement(self) -> Placement:
-        holders = {name: tuple(sorted(self._placed[name].holders)) for name in sorted(self._placed)}
+        holders = {name: tuple(sorted(self._services[name].holders)) for name in sorted(self._services)}
         short = {
-            name: Short(self._placed[name].wanted, len(names))
+            name: Short(self._services[name].wanted, len(names))
             for name, names in holders.items()
-            if len(names) < self._placed[name].wanted
+            if len(names) < self._services[name].wanted
         }
         return Placement(holders, short)
--- a/brookreach/scope/subset.py
+++ b/brookreach/scope/subset.py
@@ -13,11 +13,9 @@
 import msgspec
 
 from brookreach.scope import rendezvous
-from brookreach.scope.demand import ceiling
+from brookreach.scope.demand import ROOM_DOWN, ROOM_UP, ceiling
 from brookreach.scope.settings import Subset
 
-ROOM_UP, ROOM_DOWN = 5, 4  # full at 5/4 of the mean
-
 
 class Node(msgspec.Struct, frozen=True):
     """One endpoint of the service."""
@@ -61,8 +59,8 @@
 
     def first(self) -> None:
         settings = self.settings
-        seats = len(self.nodes) * settings.holders
-        full = min(settings.nodes, ceiling(seats * ROOM_UP, max(1, len(self.held)) * ROOM_DOWN))
+        copies = len(self.nodes) * settings.holders
+        full = min(settings.nodes, ceiling(copies * ROOM_UP, max(1, len(self.held)) * ROOM_DOWN))
         for node in self.nodes:
             ranked = [name for _, name in rendezvous.ranked(self.key + self._octets(node), self.octets)]
             for name in ranked:
--- a/tests/scope_rig.py
+++ b/tests/scope_rig.py
@@ -47,7 +47,7 @@
 
 
 def moved(before, after):
-    """Seats taken and left, over services that stand in both."""
+    """Assignments taken and left, over services that stand in both."""
     return sum(
         len(set(before.holders[name]) ^ set(after.holders[name])) for name in before.holders if name in after.holders
     )
--- a/tests/test_scope_churn.py
+++ b/tests/test_scope_churn.py
@@ -24,8 +24,8 @@
     def test_one_that_joins_takes_its_own_share(self):
         after = place(view_of(2, [*self.rows, Marshal("new", "r0", "z0")], self.services), NO_CAPS)
         self.assertEqual(moved(self.before, after), 2 * len(after.of("new")))
-        seats = sum(map(len, self.before.holders.values()))
-        self.assertLess(len(after.of("new")), 3 * seats / 120)
+        assignments = sum(map(len, self.before.holders.values()))
+        self.assertLess(len(after.of("new")), 3 * assignments / 120)
 
     def test_with_tight_caps_still_about_its_share(self):
         tight = Settings(caps=Caps(services=9, rpcs=300))
--- a/tests/test_scope_state.py
+++ b/tests/test_scope_state.py
@@ -24,7 +24,7 @@
 
 @functools.cache
 def mover():
-    """A marshal that takes a seat of the service in a fleet of 30, the one that loses it, and the holders then."""
+    """A marshal that takes a assignment of the service in a fleet of 30, the one that loses it, and the holders then."""
     before = fleet(30)
     old = place(view(1, before), SETTINGS).holders["s"]
     for at in range(200):
