--- a/tests/test_pipelined_bytes.py
+++ b/tests/test_pipelined_bytes.py
@@ -107,11 +107,23 @@
         peer.send(b"".join(query(number, HOUR_MS) for number in range(1, 5)))
         port.until(lambda: len(port.desk.taken) == 4)
         port.desk.answer(2, bytes(5000))
-        peer.send(query(5, HOUR_MS))
+        peer.lies_unread(query(5, HOUR_MS) + query(6, HOUR_MS))
+        port.turn()
         port.rest()
-        self.assertNotIn(5, port.desk.taken)
+        self.assertEqual(port.desk.taken, [1, 2, 3, 4])
         port.desk.answer(1)
-        port.until(lambda: 5 in port.desk.taken)
+        port.until(lambda: 6 in port.desk.taken)
+
+
+class OverTest(unittest.TestCase):
+    def test_an_rpc_without_time_left_is_pushed_back_and_asks_no_node(self):
+        for left_ms in (-1000.0, 0.0, 5.0):
+            world = World()
+            world.nodes(node(1))
+            world.news(1, 2, 1.0, ifc.Phase.RELEASED)
+            world.trace.clear()
+            world.rpc(wait=left_ms)
+            self.assertEqual([line.split(maxsplit=1)[1] for line in world.trace], ["push back 1"])
 
 
 class ExposureTest(unittest.TestCase):
