--- a/brookreach/scale/control.py
+++ b/brookreach/scale/control.py
@@ -42,7 +42,7 @@
     rows_a_record: float  # told to a marshal: below one where several records came in one message
     idle_leader_share: float  # not a number where another keeper came to lead meanwhile, as the next two
     leader_share: float
-    leader_us_a_telling: float  # beyond the idle share, by record and marshal
+    leader_us_a_record: float  # beyond the idle share
     idle_marshal_share: float
     marshal_share: float
     marshal_us_a_record: float
@@ -52,6 +52,11 @@
     unreached: int  # configuration changes that some marshal did not have in the time
     sessions_lost: int
 
+    @property
+    def disturbed(self) -> bool:
+        """The machine was too busy for leases to hold or for all to hear: its figures are no slopes' points."""
+        return bool(self.failed or self.unreached or self.sessions_lost)
+
     @property
     def records_a_second(self) -> float:
         return self.records / self.seconds
@@ -183,7 +188,7 @@
         rows_a_record=(after.rows - quiet.rows) / records / marshals,
         idle_leader_share=idle_leader,
         leader_share=busy_leader,
-        leader_us_a_telling=(busy_leader - idle_leader) * busy_s * 1e6 / records / marshals,
+        leader_us_a_record=(busy_leader - idle_leader) * busy_s * 1e6 / records,
         idle_marshal_share=idle_marshal,
         marshal_share=busy_marshal,
         marshal_us_a_record=(busy_marshal - idle_marshal) * busy_s * 1e6 / records,
--- a/brookreach/scale/control_table.py
+++ b/brookreach/scale/control_table.py
@@ -34,7 +34,7 @@
     Column("to one at a day's rate", "bytes/s", ",.0f", lambda run: run.day_bytes_in),
     Column("leader: idle", "% of a core", ".1f", lambda run: 100.0 * run.idle_leader_share),
     Column("leader: pressed", "% of a core", ".1f", lambda run: 100.0 * run.leader_share),
-    Column("leader: a record and marshal", "us", ".0f", lambda run: run.leader_us_a_telling),
+    Column("leader: a record", "us", ",.0f", lambda run: run.leader_us_a_record),
     Column("marshal: idle", "% of a core", ".3f", lambda run: 100.0 * run.idle_marshal_share),
     Column("marshal: pressed", "% of a core", ".3f", lambda run: 100.0 * run.marshal_share),
     Column("marshal: a record", "us", ".0f", lambda run: run.marshal_us_a_record),
@@ -49,20 +49,31 @@
     """Straight lines over the number of marshals, of what has figures at two sizes or more."""
     found = []
     for column in (COLUMNS[at] for at in FITTED):
-        points = [(run.marshals, column.value(run)) for run in runs if math.isfinite(column.value(run))]
+        points = points_of(runs, column)
         if len(points) > 1:
             sizes = [{"marshals": float(size)} for size, _ in points]
             found.append(fit(column.name, column.unit, sizes, [value for _, value in points]))
     return found
 
 
+def points_of(runs: Sequence[ControlRun], column: Column) -> list[tuple[int, float]]:
+    """Marshals and figure of each run that nothing disturbed."""
+    quiet = [run for run in runs if not run.disturbed]
+    return [(run.marshals, column.value(run)) for run in quiet if math.isfinite(column.value(run))]
+
+
 def told(runs: Sequence[ControlRun], seed: int) -> dict[str, Any]:
     """All of it, for --json."""
     return {
         "seed": seed,
         "day": {"records": FULL_DAY.records, "seconds": DAY_S},
         "runs": [
-            msgspec.structs.asdict(run) | {"records_a_second": run.records_a_second, "day_bytes_in": run.day_bytes_in}
+            msgspec.structs.asdict(run)
+            | {
+                "records_a_second": run.records_a_second,
+                "day_bytes_in": run.day_bytes_in,
+                "disturbed": run.disturbed,
+            }
             for run in runs
         ],
         "slopes": [slope_told(one) for one in slopes(runs)],
@@ -97,6 +108,9 @@
     )
     lines += [row(name, form, "", [value(run) for run in runs]) for name, form, value in counted]
     lines += [row(one.name, one.form, one.unit, [one.value(run) for run in runs]) for one in COLUMNS]
+    disturbed = [f"{run.marshals:,}" for run in runs if run.disturbed]
+    if disturbed:
+        lines += ["", f"Disturbed, and left out of the fitted lines: {', '.join(disturbed)} marshals."]
     return "\n".join([*lines, "", *slopes_text(slopes(runs))])
 
 
@@ -126,10 +140,10 @@
     figure, fields = pyplot.subplots(2, 2, figsize=(9, 6.5))
     lines = {(one.name, one.unit): one for one in slopes(runs)}
     for axes, column in zip(fields.flat, shown, strict=True):
-        points = [(run.marshals, column.value(run)) for run in runs if math.isfinite(column.value(run))]
+        points = points_of(runs, column)
         axes.plot([size for size, _ in points], [value for _, value in points], "o")
         slope = lines.get((column.name, column.unit))
-        if slope is not None:
+        if slope is not None and points:
             ends = [0, max(size for size, _ in points)]
             axes.plot(ends, [slope.at({"marshals": float(end)}) for end in ends], "-", linewidth=1)
         axes.set_title(column.name, fontsize=9)
