Scale runs take free ports and a key of their own; quick control idles for 3 s

Cause: two runs at once took the same ports, and the key was fixed: hollow marshals of one joined the keepers of the other, a keeper that could not listen was read as a process without memory (KeyError: VmRSS). Change: ports that nobody listens on from a drawn one on, a random key for each run, an ended keeper is named.

--- a/brookreach/cli/scale_control.py
+++ b/brookreach/cli/scale_control.py
@@ -102,6 +102,7 @@
     show_default=True,
     help="Configuration changes; 1100 are a whole day, the restarts and failures go with them.",
 )
+@click.option("--idle", type=click.FloatRange(1.0, 600.0), default=12.0, show_default=True, help="Seconds before them.")
 @click.option("--seconds", type=click.FloatRange(1.0, 3_600.0), help="For them; else as many as the size needs.")
 @LEASE
 @ELECTION
@@ -115,6 +116,7 @@
     keepers: str,
     nodes: int,
     changes: int,
+    idle: float,
     seconds: float | None,
     lease_ms: float,
     election_ms: float,
@@ -131,12 +133,12 @@
     from brookreach.scale.control_day import share
 
     if quick:
-        marshals, nodes, changes, seconds = (8, 16), 100, 12, 4.0
+        marshals, nodes, changes, idle, seconds = (8, 16), 100, 12, 3.0, 4.0
         lease_ms, election_ms = QUICK_TIMES
     bounded(marshals, nodes, memory_mb, lease_ms, election_ms)
     sizes = [Size(many, nodes, int(keepers), election_ms, lease_ms) for many in marshals]
     tell = progress("scale control", as_json)
-    found = guarded(partial(runs.run, sizes, share(changes), seconds, seed, tell))
+    found = guarded(partial(runs.run, sizes, share(changes), idle, seconds, seed, tell))
     told = control_table.told(found, seed)
     out(as_json, told, lambda: control_table.text(found))
     if plot is not None:
--- a/brookreach/scale/control.py
+++ b/brookreach/scale/control.py
@@ -16,11 +16,11 @@
 import msgspec
 
 from brookreach.fleet.dial import now_ms
-from brookreach.scale.control_cluster import AT_ONCE, Cluster, NotSettled, Size, open_cluster
+from brookreach.scale.control_cluster import AT_ONCE, Cluster, Size, open_cluster
 from brookreach.scale.control_day import DAY_S, FULL_DAY, Agreed, Day, Outcome, play
 from brookreach.scale.hollow_protocol import Figures, Step
 
-QUIET_S, IDLE_S, REACHED_S = 3.0, 12.0, 60.0
+QUIET_S, REACHED_S = 3.0, 60.0
 TELLINGS_A_SECOND = 1_000  # records x marshals; by it the seconds of a share are chosen, so that one core is enough
 
 
@@ -109,14 +109,14 @@
     return max(5.0, day.records * size.marshals / TELLINGS_A_SECOND)
 
 
-async def run_size(size: Size, day: Day, seconds: float, seed: int) -> ControlRun:
+async def run_size(size: Size, day: Day, idle_s: float, seconds: float, seed: int) -> ControlRun:
     """Raises NotSettled, NotHeard, ChildFailed."""
     with tempfile.TemporaryDirectory(prefix="brookreach-scale-") as folder:
         async with open_cluster(Path(folder), size, seed) as cluster:
-            return await _measured(cluster, day, seconds, seed)
+            return await _measured(cluster, day, idle_s, seconds, seed)
 
 
-async def _measured(cluster: Cluster, day: Day, seconds: float, seed: int) -> ControlRun:
+async def _measured(cluster: Cluster, day: Day, idle_s: float, seconds: float, seed: int) -> ControlRun:
     resident = sum(one.resident_bytes for one in await cluster.reports())
     await cluster.begin(AT_ONCE)
     await cluster.all_up_to_date()
@@ -124,7 +124,7 @@
     reports = await cluster.reports()
     resident = sum(one.resident_bytes for one in reports) - resident
     before = await window(cluster, reports)
-    await anyio.sleep(IDLE_S)
+    await anyio.sleep(idle_s)
     reports = await cluster.reports()
     quiet = await window(cluster, reports)
     outcome = await play(cluster, day, seconds, seed)
@@ -201,15 +201,17 @@
 
 
 def run(
-    sizes: Sequence[Size], day: Day, seconds: float | None, seed: int, progress: Callable[[int, int], None]
+    sizes: Sequence[Size],
+    day: Day,
+    idle_s: float,
+    seconds: float | None,
+    seed: int,
+    progress: Callable[[int, int], None],
 ) -> list[ControlRun]:
     """Each size in turn; raises NotSettled, NotHeard, ChildFailed."""
     found = []
     for done, size in enumerate(sizes):
         progress(done, len(sizes))
-        found.append(anyio.run(run_size, size, day, seconds or seconds_for(size, day), seed))
+        found.append(anyio.run(run_size, size, day, idle_s, seconds or seconds_for(size, day), seed))
     progress(len(sizes), len(sizes))
     return found
-
-
-__all__ = ["ControlRun", "NotSettled", "run", "run_size", "seconds_for"]
--- a/brookreach/scale/control_children.py
+++ b/brookreach/scale/control_children.py
@@ -46,6 +46,8 @@
         status = dict(line.split(":", 1) for line in (folder / "status").read_text().splitlines())
     except OSError as error:
         raise ChildFailed(f"process {pid} has ended: {error.strerror}") from None
+    if "VmRSS" not in status:
+        raise ChildFailed(f"process {pid} has ended")
     user, system = int(fields[11]), int(fields[12])
     resident, most = (int(status[name].split()[0]) * 1024 for name in ("VmRSS", "VmHWM"))
     return Usage((user + system) / TICKS, resident, most)
--- a/brookreach/scale/control_cluster.py
+++ b/brookreach/scale/control_cluster.py
@@ -5,6 +5,10 @@
 
 from __future__ import annotations
 
+import contextlib
+import os
+import random
+import socket
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass
@@ -27,7 +31,9 @@
 from brookreach.scale.hollow_protocol import Figures
 
 MOST_ZONES, FEW_ZONES, FEW_MARSHALS = 6, 2, 48  # a zone has one process of hollow marshals; few marshals, few zones
-FIRST_PORT, LAST_PORT = 19400, 19699
+FIRST_PORT, LAST_PORT = 20_000, 32_000  # below those that the system gives to connections
+KEY_BYTES = 32
+MOST_PORTS = 500  # that one run may take, those in use among them
 DRIVER = "driver"  # whose operators and agents cause the changes
 ANSWER_S, START_S, SETTLE_S = 30.0, 60.0, 240.0
 AT_ONCE = 4  # marshals of one process that start together, where the start is not what is measured
@@ -55,6 +61,20 @@
         return f"election_ms = {self.election_ms}", f"lease_ms = {self.lease_ms}"
 
 
+class FreePorts(Ports):
+    """Loopback ports that nobody listens on, from a drawn one on: several runs may be under way on one machine."""
+
+    def __init__(self) -> None:
+        super().__init__(random.SystemRandom().randrange(FIRST_PORT, LAST_PORT), LAST_PORT + MOST_PORTS)
+
+    def take(self) -> int:
+        while True:
+            port = super().take()
+            with contextlib.suppress(OSError), socket.socket() as one:
+                one.bind(("127.0.0.1", port))
+                return port
+
+
 class NotSettled(Exception):
     """The marshals were not all up to date within the bound; its text says how many were."""
 
@@ -65,7 +85,8 @@
     def __init__(self, folder: Path, size: Size, seed: int, relayed: bool, children: Children):
         self.size, self.children = size, children
         self.keepers = tuple(f"k{number + 1}" for number in range(size.keepers))
-        self.group = Group(folder, self.keepers, (*size.zones, DRIVER), Ports(FIRST_PORT, LAST_PORT))
+        self.group = Group(folder, self.keepers, (*size.zones, DRIVER), FreePorts())
+        (folder / "group.key").write_bytes(os.urandom(KEY_BYTES))  # no process of another run is heard
         self.relay = Relay(self.group.relay_ports(), seed) if relayed else None
         if not relayed:
             self.group.relayed = {(one, keeper): self.group.listens[keeper] for one, keeper in self.group.relayed}
@@ -109,10 +130,10 @@
 
     def usage(self, keeper: str) -> Usage:
         """Raises ChildFailed where it has ended."""
-        process = self.children.all[keeper].process
-        if process is None:
-            raise ChildFailed(f"{keeper} has ended: {self.children.all[keeper].told()}")
-        return usage(process.pid)
+        child = self.children.all[keeper]
+        if not child.up or child.process is None:
+            raise ChildFailed(f"{keeper} has ended: {child.told()}")
+        return usage(child.process.pid)
 
     async def reports(self) -> list[Figures]:
         return [await child.report() for child in self.hollow]
