A scale run that ends early still tells the sizes that it measured, and exits 1

Cause: of 25, 100 and 300 marshals the last was not settled in 240 s (299 of 300 up to date, on a shared core), and the two measured before were lost with it. Change: runs are told one by one; what was found is printed, then the failure.

--- a/brookreach/cli/scale_control.py
+++ b/brookreach/cli/scale_control.py
@@ -4,10 +4,9 @@
 
 import signal
 import sys
-from collections.abc import Callable
-from functools import partial
+from collections.abc import Callable, Iterator
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
 import click
 
@@ -18,6 +17,8 @@
 QUICK_TIMES = 12_000.0, 3_000.0  # lease and election, in ms: a busy machine must not end sessions
 ELECTIONS_A_LEASE = 3.0  # as `fleet.config` has it
 
+Run = TypeVar("Run")
+
 
 class Numbers(click.ParamType):
     """Whole numbers in a row with commas between them, each within bounds."""
@@ -52,25 +53,34 @@
 PLOT = click.option("--plot", type=click.Path(path_type=Path, dir_okay=False), help="Draw the figures there (PNG).")
 
 
-def guarded(call: Callable[[], Any]) -> Any:
-    """What a scale test gives; its failures as one line and exit code 1, sizes that can't be run as exit code 2."""
+def gathered(runs: Iterator[Run]) -> tuple[list[Run], str]:
+    """What a scale test gives, and why it ended before it was through; "" where it was not."""
     from brookreach.fleet.talk import NotHeard
     from brookreach.scale.control_children import ChildFailed
     from brookreach.scale.control_cluster import NotSettled
 
     known = (NotHeard, ChildFailed, NotSettled)
-    signal.signal(signal.SIGTERM, signal.default_int_handler)  # so that all processes of the run end with it
+    found: list[Run] = []
     try:
-        return call()
+        for one in runs:
+            found.append(one)
     except known as error:
-        raise click.ClickException(str(error)) from None
+        return found, str(error)
     except BaseExceptionGroup as group:
-        one: BaseException | None = group.subgroup(known)
-        while isinstance(one, BaseExceptionGroup):
-            one = one.exceptions[0]
-        if one is None:
+        inner: BaseException | None = group.subgroup(known)
+        while isinstance(inner, BaseExceptionGroup):
+            inner = inner.exceptions[0]
+        if inner is None:
             raise
-        raise click.ClickException(str(one)) from None
+        return found, str(inner)
+    return found, ""
+
+
+def shown(as_json: bool, told: dict[str, Any], text: Callable[[], str], failure: str) -> None:
+    """What was measured; then exit code 1 where a run ended early."""
+    out(as_json, told | {"failure": failure}, text)
+    if failure:
+        raise click.ClickException(f"not all sizes were measured: {failure}")
 
 
 def bounded(marshals: tuple[int, ...], nodes: int, memory_mb: int, lease_ms: float, election_ms: float) -> None:
@@ -138,11 +148,11 @@
     bounded(marshals, nodes, memory_mb, lease_ms, election_ms)
     sizes = [Size(many, nodes, int(keepers), election_ms, lease_ms) for many in marshals]
     tell = progress("scale control", as_json)
-    found = guarded(partial(runs.run, sizes, share(changes), idle, seconds, seed, tell))
-    told = control_table.told(found, seed)
-    out(as_json, told, lambda: control_table.text(found))
-    if plot is not None:
+    signal.signal(signal.SIGTERM, signal.default_int_handler)  # so that all processes of the run end with it
+    found, failure = gathered(runs.run(sizes, share(changes), idle, seconds, seed, tell))
+    if plot is not None and found:
         control_table.draw(found, plot)
+    shown(as_json, control_table.told(found, seed), lambda: control_table.text(found), failure)
 
 
 @click.command(hidden=True)
@@ -212,11 +222,11 @@
     bounded(marshals, nodes, memory_mb, lease_ms, election_ms)
     sizes = [Size(many, nodes, int(keepers), election_ms, lease_ms) for many in marshals]
     tell = progress("scale storm", as_json)
-    found = guarded(partial(runs.run, what or tuple(runs.SCENARIOS), sizes, seed, tell))
-    told = storm_table.told(found, seed)
-    out(as_json, told, lambda: storm_table.text(found))
-    if plot is not None:
+    signal.signal(signal.SIGTERM, signal.default_int_handler)  # so that all processes of the run end with it
+    found, failure = gathered(runs.run(what or tuple(runs.SCENARIOS), sizes, seed, tell))
+    if plot is not None and found:
         storm_table.draw(found, plot)
+    shown(as_json, storm_table.told(found, seed), lambda: storm_table.text(found), failure)
 
 
 @click.command()
--- a/brookreach/scale/control.py
+++ b/brookreach/scale/control.py
@@ -8,7 +8,7 @@
 import math
 import statistics
 import tempfile
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -207,11 +207,9 @@
     seconds: float | None,
     seed: int,
     progress: Callable[[int, int], None],
-) -> list[ControlRun]:
+) -> Iterator[ControlRun]:
     """Each size in turn; raises NotSettled, NotHeard, ChildFailed."""
-    found = []
     for done, size in enumerate(sizes):
         progress(done, len(sizes))
-        found.append(anyio.run(run_size, size, day, idle_s, seconds or seconds_for(size, day), seed))
+        yield anyio.run(run_size, size, day, idle_s, seconds or seconds_for(size, day), seed)
     progress(len(sizes), len(sizes))
-    return found
--- a/brookreach/scale/storm.py
+++ b/brookreach/scale/storm.py
@@ -8,7 +8,7 @@
 
 import tempfile
 from collections import Counter
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Iterator, Sequence
 from pathlib import Path
 
 import anyio
@@ -189,12 +189,12 @@
             return await SCENARIOS[what](cluster)
 
 
-def run(whats: Sequence[str], sizes: Sequence[Size], seed: int, progress: Callable[[int, int], None]) -> list[StormRun]:
+def run(
+    whats: Sequence[str], sizes: Sequence[Size], seed: int, progress: Callable[[int, int], None]
+) -> Iterator[StormRun]:
     """Each scenario at each size; raises NotSettled, NotHeard, ChildFailed."""
-    found: list[StormRun] = []
     plays = [(what, size) for what in whats for size in sizes]
     for done, (what, size) in enumerate(plays):
         progress(done, len(plays))
-        found += anyio.run(run_size, what, size, seed)
+        yield from anyio.run(run_size, what, size, seed)
     progress(len(plays), len(plays))
-    return found
--- a/tests/test_scale_control.py
+++ b/tests/test_scale_control.py
@@ -11,10 +11,11 @@
 from click.testing import CliRunner
 
 from brookreach.cli.main import main
+from brookreach.cli.scale_control import gathered
 from brookreach.fleet.seams import Timing
-from brookreach.scale import control, control_counts, storm, storm_table
+from brookreach.scale import control, control_counts, control_table, storm, storm_table
 from brookreach.scale.control import last_ms
-from brookreach.scale.control_cluster import Size, shares
+from brookreach.scale.control_cluster import NotSettled, Size, shares
 from brookreach.scale.control_day import FULL_DAY, RACK, Agreed, share
 from brookreach.scale.hollow_process import Progress
 from brookreach.scale.hollow_protocol import Figures, Step
@@ -177,6 +178,24 @@
         self.assertAlmostEqual(line.per_unit["marshals squared"], 1.0, places=6)
         self.assertAlmostEqual(rows.per_unit["marshals squared"], 1.0, places=6)
 
+    def test_what_was_measured_before_a_failure_is_kept(self):
+        def runs():
+            yield 1
+            yield 2
+            raise NotSettled("299 of 300")
+
+        self.assertEqual(gathered(runs()), ([1, 2], "299 of 300"))
+        self.assertEqual(gathered(iter((3,))), ([3], ""))
+
+    def test_a_disturbed_run_is_no_point_of_a_slope(self):
+        def run(marshals, lost):
+            windows = tuple(control.Window(at, at, 100, 100, 10, "k1", at) for at in (0.0, 1000.0, 3000.0))
+            return control.worked_out(Size(marshals, 50, 3), windows, control.Outcome(), [], 800 * marshals, lost)
+
+        found = control_table.slopes([run(8, 0), run(16, 0), run(32, 5)])
+        self.assertEqual({one.points for one in found}, {2})
+        self.assertIn("left out of the fitted lines: 32 marshals", control_table.text([run(8, 0), run(32, 5)]))
+
     def test_a_leader_that_changed_has_no_share(self):
         windows = [
             control.Window(at, 1.0, 100, 100, 10, leader, 1.0)
