--- a/brookreach/cli/scale_control.py
+++ b/brookreach/cli/scale_control.py
@@ -66,6 +66,8 @@
             found.append(one)
     except known as error:
         return found, str(error)
+    except KeyboardInterrupt:
+        return found, "it was told to end"
     except BaseExceptionGroup as group:
         inner: BaseException | None = group.subgroup(known)
         while isinstance(inner, BaseExceptionGroup):
--- a/brookreach/scale/storm_table.py
+++ b/brookreach/scale/storm_table.py
@@ -16,15 +16,13 @@
 
 
 def slopes(runs: Sequence[StormRun]) -> list[Slope]:
-    """Of each phase: all bytes and all rows about marshals, over marshals and, with three sizes, their square."""
+    """Of each phase: all bytes and all rows about marshals, over marshals and their square, from three sizes on."""
     found = []
     for what in dict.fromkeys(run.what for run in runs):
         own = [run for run in runs if run.what == what]
-        if len(own) < 2:
+        if len(own) < LEAST_FOR_SQUARE:
             continue
-        sizes = [{"marshals": float(run.marshals)} for run in own]
-        if len(own) >= LEAST_FOR_SQUARE:
-            sizes = [size | {"marshals squared": size["marshals"] ** 2} for size in sizes]
+        sizes = [{"marshals": float(run.marshals), "marshals squared": float(run.marshals**2)} for run in own]
         found.append(fit(f"{what}: bytes", "bytes", sizes, [run.bytes_in for run in own]))
         found.append(fit(f"{what}: rows about marshals", "rows", sizes, [run.marshal_rows for run in own]))
     return found
@@ -55,7 +53,7 @@
         )
     found = slopes(runs)
     if not found:
-        return "\n".join([*lines, "", "No slopes: they take two sizes or more."])
+        return "\n".join([*lines, "", "No slopes: with the square they take three sizes or more."])
     lines += ["", "| fitted over marshals | constant | a marshal | a marshal squared | R2 |", "| --- " * 5 + "|"]
     for one in found:
         per, square = (one.per_unit.get(axis) for axis in ("marshals", "marshals squared"))
--- a/tests/test_scale_control.py
+++ b/tests/test_scale_control.py
@@ -177,6 +177,7 @@
         self.assertAlmostEqual(line.per_unit["marshals"], 3.0, places=6)
         self.assertAlmostEqual(line.per_unit["marshals squared"], 1.0, places=6)
         self.assertAlmostEqual(rows.per_unit["marshals squared"], 1.0, places=6)
+        self.assertEqual(storm_table.slopes([run(10), run(20)]), [])  # a line through two points would hide it
 
     def test_what_was_measured_before_a_failure_is_kept(self):
         def runs():
@@ -187,6 +188,12 @@
         self.assertEqual(gathered(runs()), ([1, 2], "299 of 300"))
         self.assertEqual(gathered(iter((3,))), ([3], ""))
 
+        def stopped():
+            yield 4
+            raise KeyboardInterrupt
+
+        self.assertEqual(gathered(stopped()), ([4], "it was told to end"))
+
     def test_a_disturbed_run_is_no_point_of_a_slope(self):
         def run(marshals, lost):
             windows = tuple(control.Window(at, at, 100, 100, 10, "k1", at) for at in (0.0, 1000.0, 3000.0))
