--- a/brookreach/cli/scale_control.py
+++ b/brookreach/cli/scale_control.py
@@ -104,9 +104,9 @@
 
 
 @click.command()
-@click.option("--marshals", type=Numbers(2, MOST_MARSHALS), default="50,100,300", show_default=True)
+@click.option("--marshals", type=Numbers(2, MOST_MARSHALS), default="25,50,100", show_default=True)
 @KEEPERS
-@click.option("--nodes", type=click.IntRange(LEAST_NODES, MOST_NODES), default=500, show_default=True)
+@click.option("--nodes", type=click.IntRange(LEAST_NODES, MOST_NODES), default=300, show_default=True)
 @click.option(
     "--changes",
     type=click.IntRange(2, 1_100),
@@ -190,9 +190,9 @@
     multiple=True,
     help="As often as wanted; else all four.",
 )
-@click.option("--marshals", type=Numbers(6, MOST_MARSHALS), default="48,96,192", show_default=True)
+@click.option("--marshals", type=Numbers(6, MOST_MARSHALS), default="24,48,96", show_default=True)
 @KEEPERS
-@click.option("--nodes", type=click.IntRange(LEAST_NODES, MOST_NODES), default=200, show_default=True)
+@click.option("--nodes", type=click.IntRange(LEAST_NODES, MOST_NODES), default=100, show_default=True)
 @LEASE
 @ELECTION
 @SEED
