--- a/brookreach/cli/scale_control.py
+++ b/brookreach/cli/scale_control.py
@@ -4,10 +4,9 @@
 
 import signal
 import sys
-from collections.abc import Callable
-from functools import partial
+from collections.abc import Callable, Iterator
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
 import click
 
@@ -18,6 +17,8 @@
 QUICK_TIMES = 12_000.0, 3_000.0  # lease and election, in ms: a busy machine must not end sessions
 ELECTIONS_A_LEASE = 3.0  # as `fleet.config` has it
 
+Run = TypeVar("Run")
+
 
 class Numbers(click.ParamType):
     """Whole numbers in a row with commas between them, each within bounds."""
@@ -52,25 +53,36 @@
 PLOT = click.option("--plot", type=click.Path(path_type=Path, dir_okay=False), help="Draw the figures there (PNG).")
 
 
-def guarded(call: Callable[[], Any]) -> Any:
-    """What a scale test gives; its failures as one line and exit code 1, sizes that can't be run as exit code 2."""
+def gathered(runs: Iterator[Run]) -> tuple[list[Run], str]:
+    """What a scale test gives, and why it ended before it was through; "" where it was not."""
     from brookreach.fleet.talk import NotHeard
     from brookreach.scale.control_children import ChildFailed
     from brookreach.scale.control_cluster import NotSettled
 
     known = (NotHeard, ChildFailed, NotSettled)
-    signal.signal(signal.SIGTERM, signal.default_int_handler)  # so that all processes of the run end with it
+    found: list[Run] = []
     try:
-        return call()
+        for one in runs:
+            found.append(one)
     except known as error:
-        raise click.ClickException(str(error)) from None
+        return found, str(error)
+    except KeyboardInterrupt:
+        return found, "it was told to end"
     except BaseExceptionGroup as group:
-        one: BaseException | None = group.subgroup(known)
-        while isinstance(one, BaseExceptionGroup):
-            one = one.exceptions[0]
-        if one is None:
+        inner: BaseException | None = group.subgroup(known)
+        while isinstance(inner, BaseExceptionGroup):
+            inner = inner.exceptions[0]
+        if inner is None:
             raise
-        raise click.ClickException(str(one)) from None
+        return found, str(inner)
+    return found, ""
+
+
+def shown(as_json: bool, told: dict[str, Any], text: Callable[[], str], failure: str) -> None:
+    """What was measured; then exit code 1 where a run ended early."""
+    out(as_json, told | {"failure": failure}, text)
+    if failure:
+        raise click.ClickException(f"not all sizes were measured: {failure}")
 
 
 def bounded(marshals: tuple[int, ...], nodes: int, memory_mb: int, lease_ms: float, election_ms: float) -> None:
@@ -92,9 +104,9 @@
 
 
 @click.command()
-@click.option("--marshals", type=Numbers(2, MOST_MARSHALS), default="50,100,300", show_default=True)
+@click.option("--marshals", type=Numbers(2, MOST_MARSHALS), default="25,50,100", show_default=True)
 @KEEPERS
-@click.option("--nodes", type=click.IntRange(LEAST_NODES, MOST_NODES), default=500, show_default=True)
+@click.option("--nodes", type=click.IntRange(LEAST_NODES, MOST_NODES), default=300, show_default=True)
 @click.option(
     "--changes",
     type=click.IntRange(2, 1_100),
@@ -102,6 +114,7 @@
     show_default=True,
     help="Configuration changes; 1100 are a whole day, the restarts and failures go with them.",
 )
+@click.option("--idle", type=click.FloatRange(1.0, 600.0), default=12.0, show_default=True, help="Seconds before them.")
 @click.option("--seconds", type=click.FloatRange(1.0, 3_600.0), help="For them; else as many as the size needs.")
 @LEASE
 @ELECTION
@@ -115,6 +128,7 @@
     keepers: str,
     nodes: int,
     changes: int,
+    idle: float,
     seconds: float | None,
     lease_ms: float,
     election_ms: float,
@@ -131,16 +145,16 @@
     from brookreach.scale.control_day import share
 
     if quick:
-        marshals, nodes, changes, seconds = (8, 16), 100, 12, 4.0
+        marshals, nodes, changes, idle, seconds = (8, 16), 100, 12, 3.0, 4.0
         lease_ms, election_ms = QUICK_TIMES
     bounded(marshals, nodes, memory_mb, lease_ms, election_ms)
     sizes = [Size(many, nodes, int(keepers), election_ms, lease_ms) for many in marshals]
     tell = progress("scale control", as_json)
-    found = guarded(partial(runs.run, sizes, share(changes), seconds, seed, tell))
-    told = control_table.told(found, seed)
-    out(as_json, told, lambda: control_table.text(found))
-    if plot is not None:
+    signal.signal(signal.SIGTERM, signal.default_int_handler)  # so that all processes of the run end with it
+    found, failure = gathered(runs.run(sizes, share(changes), idle, seconds, seed, tell))
+    if plot is not None and found:
         control_table.draw(found, plot)
+    shown(as_json, control_table.told(found, seed), lambda: control_table.text(found), failure)
 
 
 @click.command(hidden=True)
@@ -176,9 +190,9 @@
     multiple=True,
     help="As often as wanted; else all four.",
 )
-@click.option("--marshals", type=Numbers(6, MOST_MARSHALS), default="48,96,192", show_default=True)
+@click.option("--marshals", type=Numbers(6, MOST_MARSHALS), default="24,48,96", show_default=True)
 @KEEPERS
-@click.option("--nodes", type=click.IntRange(LEAST_NODES, MOST_NODES), default=200, show_default=True)
+@click.option("--nodes", type=click.IntRange(LEAST_NODES, MOST_NODES), default=100, show_default=True)
 @LEASE
 @ELECTION
 @SEED
@@ -210,11 +224,11 @@
     bounded(marshals, nodes, memory_mb, lease_ms, election_ms)
     sizes = [Size(many, nodes, int(keepers), election_ms, lease_ms) for many in marshals]
     tell = progress("scale storm", as_json)
-    found = guarded(partial(runs.run, what or tuple(runs.SCENARIOS), sizes, seed, tell))
-    told = storm_table.told(found, seed)
-    out(as_json, told, lambda: storm_table.text(found))
-    if plot is not None:
+    signal.signal(signal.SIGTERM, signal.default_int_handler)  # so that all processes of the run end with it
+    found, failure = gathered(runs.run(what or tuple(runs.SCENARIOS), sizes, seed, tell))
+    if plot is not None and found:
         storm_table.draw(found, plot)
+    shown(as_json, storm_table.told(found, seed), lambda: storm_table.text(found), failure)
 
 
 @click.command()
