scale marshal: a process that gives no answer or watches no list is told, and no line goes through it

Cause: in the measured run one process of nine, at 12,000 nodes, answered after 20 s and did not come to watch the list within 10 s (busy machine); its figures bent three slopes, and one that gave no answer at all would have lost the whole run. Such a row is told as it is, left out of the lines, and an unanswered one is a fault in the report with exit 1. Counts are of 400 RPCs, so that second picks (1 in 300) stay out of their 99th percentile.

--- a/brookreach/cli/scale_marshal.py
+++ b/brookreach/cli/scale_marshal.py
@@ -32,7 +32,8 @@
     quick: bool,
     full: bool,
 ) -> None:
-    """Time and count one marshal's decisions, lists and process at each size; fit slopes through them.
+    """Time and count one marshal's decisions, lists and process at each size; fit slopes through them. Exit 1
+    where a process could not be measured.
 
     Without --full, each of nodes, methods and tenants is measured beside the least of the others, and the largest
     of all together.
@@ -40,7 +41,6 @@
     import msgspec
 
     from brookreach.scale import marshal_report, marshal_run
-    from brookreach.scale.marshal_process import NoAnswer
     from brookreach.scale.marshal_sizes import BadSize, Grid, parse
 
     if quick and full:
@@ -57,6 +57,7 @@
         report = marshal_run.run(make(grid, count, seed), " ".join(words), progress("scale marshal", as_json))
     except BadSize as error:
         raise BadInput(str(error)) from None
-    except (marshal_run.WorkerFailed, NoAnswer) as error:
+    except marshal_run.WorkerFailed as error:
         raise click.ClickException(str(error)) from None
     out(as_json, msgspec.to_builtins(report), lambda: marshal_report.text(report))
+    raise SystemExit(1 if report.faults else 0)
--- a/brookreach/scale/marshal_process.py
+++ b/brookreach/scale/marshal_process.py
@@ -54,7 +54,7 @@
     """Memory in MB of 1,048,576 bytes; processor time in seconds of one core, a second of running.
 
     `changes` and `wholes` are missing where the marshal did not come to watch the list within `WATCHES_WITHIN_S`:
-    it gives up a whole list that takes longer than `Limits.whole_s`, and asks again.
+    it gives up a whole list that takes longer than `Limits.whole_s`, and asks again. No line is fitted to such a row.
     """
 
     size: Size
@@ -115,6 +115,7 @@
         first_answer_s, start_cpu_s = time.monotonic() - begun, cpu_s(process.pid)
         with anyio.move_on_after(WATCHES_WITHIN_S):
             await site.watched.wait()
+        watched = site.watched.is_set()
         await anyio.sleep(SETTLE_S)
         idle_cpu, _ = await _rates(process.pid, site, seconds)
         idle_mb = status_mb(process.pid, "VmRSS")
@@ -132,8 +133,8 @@
             idle_cpu=idle_cpu,
             peak_mb=status_mb(process.pid, "VmHWM"),
             whole_calls=site.whole_calls,
-            changes=changes,
-            wholes=wholes,
+            changes=changes if watched else None,
+            wholes=wholes if watched else None,
         )
 
 
--- a/brookreach/scale/marshal_report.py
+++ b/brookreach/scale/marshal_report.py
@@ -24,7 +24,7 @@
         parts.append(f"{cost.situation}: work counted, calls and lines of the decisions")
         parts.append(_costs(report.counted, place))
     parts += ["lists, processor milliseconds without sockets", _lists(report)]
-    parts += ["one process of the program", _processes(report)]
+    parts += ["one process of the program", _processes(report), *report.faults]
     parts += ["slopes: value = constant + each slope x its size", _slopes(report.slopes)]
     return "\n\n".join(parts)
 
@@ -70,9 +70,9 @@
         "whole list ms",
         "calls for the whole",
     ]
-    first = report.processes[0]
     lines = []
     for one in report.processes:
+        first = report.processes[0]
         changes, wholes = one.changes, one.wholes
         lines.append(
             [
--- a/brookreach/scale/marshal_run.py
+++ b/brookreach/scale/marshal_run.py
@@ -15,7 +15,7 @@
 from brookreach.scale.marshal_build import Build
 from brookreach.scale.marshal_decisions import SizedCosts
 from brookreach.scale.marshal_lists import ListCosts
-from brookreach.scale.marshal_process import ProcessCost
+from brookreach.scale.marshal_process import NoAnswer, ProcessCost
 from brookreach.scale.marshal_sizes import Grid, Size
 from brookreach.scale.marshal_slopes import decision_slopes, part_slopes
 from brookreach.scale.marshal_worker import Reply, Request, What
@@ -40,6 +40,7 @@
     lists: list[ListCosts]
     processes: list[ProcessCost]
     slopes: list[Slope]
+    faults: list[str] = []  # what could not be measured, a line each
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,11 +56,11 @@
 
 
 def default_plan(grid: Grid, rpcs: int, seed: int) -> Plan:
-    return Plan(grid.axes(), _counts(grid), rpcs, 200, 2.0, seed)
+    return Plan(grid.axes(), _counts(grid), rpcs, 400, 2.0, seed)
 
 
 def full_plan(grid: Grid, rpcs: int, seed: int) -> Plan:
-    return Plan(grid.full(), _counts(grid), rpcs, 200, 2.0, seed)
+    return Plan(grid.full(), _counts(grid), rpcs, 400, 2.0, seed)
 
 
 def quick_plan(grid: Grid, rpcs: int, seed: int) -> Plan:
@@ -80,7 +81,7 @@
 def run(plan: Plan, command: str, progress: Callable[[int, int], None]) -> Report:
     """Work is counted where this process runs the source, which the interpreter sees the lines of.
 
-    Raises WorkerFailed or NoAnswer.
+    A process that gives no answer is a fault in the report; the rest goes on. Raises WorkerFailed.
     """
     build, source = marshal_build.present(), marshal_build.source()
     counts = [] if source.compiled else plan.counts
@@ -91,7 +92,7 @@
         done += 1
         progress(done, steps)
 
-    timed, counted, lists, processes = [], [], [], []
+    timed, counted, lists, processes, faults = [], [], [], [], list[str]()
     for size in plan.sizes:
         timed.append(SizedCosts(size, _asked(build, "timed", size, plan.rpcs, plan.seed).costs))
         one_done()
@@ -104,10 +105,13 @@
         assert found is not None
         lists.append(found)
         one_done()
-        processes.append(anyio.run(marshal_process.measure, size, build, plan.seconds))
+        try:
+            processes.append(anyio.run(marshal_process.measure, size, build, plan.seconds))
+        except NoAnswer as error:
+            faults.append(f"a process at {size}: {error}")
         one_done()
     slopes = [*decision_slopes(timed, "us"), *decision_slopes(counted, "lines"), *part_slopes(lists, processes)]
-    return Report(command, plan.seed, plan.rpcs, build.compiled, timed, counted, lists, processes, slopes)
+    return Report(command, plan.seed, plan.rpcs, build.compiled, timed, counted, lists, processes, slopes, faults)
 
 
 def _asked(build: Build, what: What, size: Size, rpcs: int, seed: int) -> Reply:
--- a/brookreach/scale/marshal_slopes.py
+++ b/brookreach/scale/marshal_slopes.py
@@ -54,11 +54,13 @@
 
 
 def part_slopes(lists: Sequence[ListCosts], processes: Sequence[ProcessCost]) -> list[Slope]:
+    """A process that did not come to watch the list was disturbed: its figures are told, and no line goes through."""
     slopes = []
+    watching = [one for one in processes if one.changes is not None]
     for name, (unit, of_list) in LIST_FIGURES.items():
         slopes += _fitted(name, unit, [one.size for one in lists], [of_list(one) for one in lists])
     for name, (unit, of_process) in PROCESS_FIGURES.items():
-        pairs = [(one.size, of_process(one)) for one in processes]
+        pairs = [(one.size, of_process(one)) for one in watching]
         known = [(size, value) for size, value in pairs if value is not None]
         slopes += _fitted(name, unit, [size for size, _ in known], [value for _, value in known])
     return slopes
--- a/tests/test_scale_marshal.py
+++ b/tests/test_scale_marshal.py
@@ -29,7 +29,9 @@
 from brookreach.scale.marshal_decisions import counted
 from brookreach.scale.marshal_lists import measure as measure_lists
 from brookreach.scale.marshal_load import Load
+from brookreach.scale.marshal_process import ListRate, ProcessCost
 from brookreach.scale.marshal_sizes import BadSize, Grid, Size, parse
+from brookreach.scale.marshal_slopes import part_slopes
 
 FEW, MANY = 150, 1200  # nodes; the second is eight times the first
 RPCS = 300
@@ -268,6 +270,34 @@
         self.assertEqual(marshal_report.beside(None, 10.0), "-")
 
 
+class DisturbedTest(unittest.TestCase):
+    """A process that could not be measured as meant takes nothing of the rest with it."""
+
+    def test_no_line_goes_through_a_process_that_did_not_watch(self):
+        def process(nodes, idle_cpu, watched):
+            rate = ListRate(0.5, 10.0) if watched else None
+            return ProcessCost(Size(nodes, 3, 0), 0.5, 0.2, 26.0, idle_cpu, 27.0, 1, rate, rate)
+
+        processes = [process(150, 0.25, True), process(1000, 9.0, False), process(300, 0.25, True)]
+        slopes = {slope.name: slope for slope in part_slopes([], processes)}
+        self.assertEqual(slopes["process: idle"].points, 2)
+        self.assertAlmostEqual(slopes["process: idle"].per_unit["nodes"], 0.0)
+        self.assertAlmostEqual(slopes["process: one change"].constant, 25.0)
+
+    def test_a_process_without_an_answer_is_a_fault_and_the_rest_is_told(self):
+        answer = mock.patch.object(marshal_process, "_first_answer", side_effect=marshal_process.NoAnswer("none"))
+        sizes = ("--nodes", "20,30", "--methods", "2", "--tenants", "0", "--rpcs", "100")
+        with answer:
+            found = CliRunner().invoke(main, ("scale", "marshal", "--quick", *sizes, "--json"))
+        told = json.loads(found.output)
+        self.assertEqual((found.exit_code, len(told["timed"]), told["processes"]), (1, 2, []))
+        self.assertRegex(told["faults"][0], "^a process at .*nodes=20.*: none$")
+        with answer:
+            found = CliRunner().invoke(main, ("scale", "marshal", "--quick", *sizes))
+        self.assertEqual(found.exit_code, 1)
+        self.assertIn("a process at", found.output)
+
+
 class BuildTest(unittest.TestCase):
     def test_a_compiled_build_counts_only_while_it_is_of_this_source(self):
         with tempfile.TemporaryDirectory() as folder:
