--- a/brookreach/scale/marshal_plot.py
+++ b/brookreach/scale/marshal_plot.py
@@ -42,6 +42,7 @@
     right.plot([one.size.nodes for one in alone], [one.peak_mb for one in alone], marker=".", label="at most")
     right.axhline(BUDGET_MB, color="grey", linestyle=":", label="budget of control")
     right.set(xlabel="nodes", ylabel="resident MB", ylim=(0.0, None))
+    right.locator_params(axis="x", nbins=4)
     right.legend()
     return figure
 
