--- a/brookreach/scale/marshal_decisions.py
+++ b/brookreach/scale/marshal_decisions.py
@@ -18,7 +18,7 @@
 from brookreach.scale.marshal_work import Counter
 
 WARM_UP_RPCS = 1000  # some six seconds: past the period that exposure is counted over
-WARM_UP_PER_METHOD = 3  # so that most methods have been judged before anything is measured
+WARM_UP_PER_METHOD = 3  # where RPCs are judged: most methods have been, before anything is measured
 GARBAGE = 20_000  # as net/limits has it
 ROUNDS = 2  # other work on the machine only ever adds to a time
 NS_PER_US = 1000.0
@@ -75,7 +75,7 @@
     gc.collect()
     gc.freeze()  # as a marshal does at its start
     gc.set_threshold(GARBAGE)
-    load.run(max(WARM_UP_RPCS, WARM_UP_PER_METHOD * size.methods))
+    load.run(max(WARM_UP_RPCS, WARM_UP_PER_METHOD * size.methods * kind.judged))
     load.spent.beats.clear()
     load.spent.lists.clear()
     answered = load.answered
--- a/brookreach/scale/marshal_situations.py
+++ b/brookreach/scale/marshal_situations.py
@@ -18,6 +18,7 @@
 
     name = "quiet"
     every_ms: float | None = None  # between changes of the list
+    judged = False  # whether RPCs are judged by method, so that each method has to be warmed up
     build = configured.RELEASED_BUILD
     phase = ifc.Phase.RELEASED
     stage = len(configured.STAGE_SHARES) - 1
@@ -50,6 +51,7 @@
     """Three quarters of the nodes run a build that is on trial, so that the median RPC runs on it."""
 
     name = "on trial"
+    judged = True
     build, phase, stage = configured.NEW_BUILD, ifc.Phase.ON_TRIAL, configured.TRIAL_STAGE
 
     def entry(self, node: int) -> ifc.NodeEntry:
