--- a/brookreach/capacity/measure.py
+++ b/brookreach/capacity/measure.py
@@ -13,6 +13,7 @@
 import tracemalloc
 from collections.abc import Callable
 from types import SimpleNamespace
+from typing import Any
 
 import click
 import msgspec
@@ -120,8 +121,9 @@
 
 def discovery_of() -> Discovery:
     """A reader of lists whose lists go nowhere: only reading is measured."""
-    limits = SimpleNamespace(refused_s=1.0, refused_most_s=2.0)
-    return Discovery(limits, Report("measure", 1), ["r1-a"], ["std"], random.Random(1), lambda told, listed: None)  # type: ignore[arg-type]
+    limits: Any = SimpleNamespace(refused_s=1.0, refused_most_s=2.0)  # what a reader looks at
+    report = Report("measure", 1)
+    return Discovery(limits, report, ["r1-a"], ["std"], random.Random(1), lambda told, listed: None)
 
 
 def list_octets(nodes: int, complete: bool) -> bytes:
