Drill of outages waits for keepers that listen again, not for a client that has not noticed

Seen: test_outages failed in 2 of 2 whole runs of test_pieces_processes on the shared core; the second was kept: 'drains go on after all: answered None', and three keepers ended by SIGTERM with -15. Cause: after all keepers were killed and started the drill waited for eye.client.joined, which was still true from before, since the lost connection had not been noticed; the order went to a dead connection and the signals came before the new processes had their handlers. Change: it waits until each keeper's log says since its start that it listens, and asks the last drain, which may be said twice, until it is taken.

--- a/brookreach/drills/outages_processes.py
+++ b/brookreach/drills/outages_processes.py
@@ -180,8 +180,8 @@
         await self.resume()
         await town.until(self.whole, "all come back and all permits end", GOES_ON_S, self.lacks)
         await town.down(KEEPERS, 0.1)
-        await town.until(lambda: self.eye.client.joined, "all keepers begin again")
-        answer = await self.ann.ask("outages", orders.AskDrain("last", self.names[0], 5, "drill"))
+        await town.until(lambda: all(town.listens(one) for one in KEEPERS), "all keepers begin again")
+        answer = await self.ann.agreed("outages", orders.AskDrain("last", self.names[0], 5, "drill"))
         town.look("drains go on after all", answer is not None and answer.ok, lambda: f"answered {answer}")
         place = answer.index if answer else 0
         await town.until(lambda: self.watch.index >= place and self.whole(), "the last drain ends", why=self.lacks)
--- a/brookreach/drills/pieces_processes.py
+++ b/brookreach/drills/pieces_processes.py
@@ -113,13 +113,13 @@
             return self.answers[seq]
         return None
 
-    async def agreed(self, piece: str, order: Order, within_s: float) -> bool:
-        """Whether an order that may be said twice was taken; where that isn't known it is asked again."""
+    async def agreed(self, piece: str, order: Order, within_s: float = GOES_ON_S) -> Answered | None:
+        """The answer that takes an order which may be said twice: it is asked again until there is one."""
         with anyio.move_on_after(within_s):
             while (answer := await self.ask(piece, order, within_s)) is None or not answer.ok:
                 await anyio.sleep(LOOK_S)
-            return True
-        return False
+            return answer
+        return None
 
 
 class Town:
@@ -220,6 +220,12 @@
             self.lines.append(Line(anyio.current_time(), name, BEGINS))
             self.children.all[name].start()
 
+    def listens(self, name: str) -> bool:
+        """Whether a keeper has said so since it was last started: before that it knows no SIGTERM."""
+        texts = [line.text for line in self.lines if line.who == name]
+        begun = max((at for at, text in enumerate(texts) if text == BEGINS), default=-1)
+        return any(f"{name} listens," in text for text in texts[begun + 1 :])
+
     async def stopped(self, name: str, for_s: float) -> None:
         self.children.all[name].stop()
         await anyio.sleep(for_s)
