--- a/brookreach/drills/gangs_processes.py
+++ b/brookreach/drills/gangs_processes.py
@@ -16,7 +16,8 @@
 import anyio.abc
 
 from brookreach.drills import gangs_files
-from brookreach.drills.pieces_processes import GOES_ON_S, KEEPERS, LEASE_S, START_S, Operator, Town
+from brookreach.drills.operators import GOES_ON_S, LEASE_S, START_S, Operator
+from brookreach.drills.pieces_processes import KEEPERS, Town
 from brookreach.drills.processes import Children, played
 from brookreach.drills.report import Report
 from brookreach.gangs.orders import Noticed, Submit
--- a/brookreach/drills/outages_breaks.py
+++ b/brookreach/drills/outages_breaks.py
@@ -7,7 +7,8 @@
 
 import anyio
 
-from brookreach.drills.pieces_processes import KEEPERS, LEASE_S
+from brookreach.drills.operators import LEASE_S
+from brookreach.drills.pieces_processes import KEEPERS
 from brookreach.fleet.events import Answered
 from brookreach.outages import orders, rows
 
--- a/brookreach/drills/outages_processes.py
+++ b/brookreach/drills/outages_processes.py
@@ -14,9 +14,10 @@
 import anyio
 
 from brookreach.drills import stand
+from brookreach.drills.operators import GOES_ON_S, START_S, Operator
 from brookreach.drills.outages_breaks import BREAKS, Breaks
 from brookreach.drills.outages_watch import Call, Watch
-from brookreach.drills.pieces_processes import GOES_ON_S, KEEPERS, START_S, Operator, Town
+from brookreach.drills.pieces_processes import KEEPERS, Town
 from brookreach.drills.processes import Children, played
 from brookreach.drills.report import Report
 from brookreach.net.stream import address
--- a/brookreach/drills/pieces_processes.py
+++ b/brookreach/drills/pieces_processes.py
@@ -1,7 +1,7 @@
 """What drills of the pieces between processes of the program share: keepers behind a relay, operators, logs.
 
-It owns who runs, how what they log is read while they run, and the end of them all. Operators here are the
-program's own `Client` and `Dial`; they must never look into a process, only hear what it answers and logs.
+It owns who runs, how what they log is read while they run, and the end of them all. It must never look into a
+process, only hear what it logs; `operators` says what is asked of them.
 """
 
 from __future__ import annotations
@@ -9,28 +9,19 @@
 import random
 import re
 import signal
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Sequence
 from pathlib import Path
 from typing import Any, NamedTuple
 
 import anyio
 
+from brookreach.drills.operators import GOES_ON_S, LOOK_S, TIMES
 from brookreach.drills.processes import FOUND_S, Child, Children, Group
 from brookreach.drills.relay import Relay, Way
 from brookreach.drills.report import Report, Violation
-from brookreach.fleet import words
-from brookreach.fleet.asks import TooMany
-from brookreach.fleet.client import Client
-from brookreach.fleet.dial import Dial, now_ms
-from brookreach.fleet.events import Answered, Changed, Event, Unknown
-from brookreach.fleet.piece import Order, Row
-from brookreach.fleet.seams import Timing
 
 KEEPERS = ("k1", "k2", "k3")
-TIMES = Timing(beat_ms=100.0, election_ms=1000.0, lease_ms=3000.0)  # a keeper that waits for a core still leads
 TIMING = tuple(f"{name} = {getattr(TIMES, name)}" for name in ("beat_ms", "election_ms", "lease_ms"))
-LEASE_S, LOOK_S = TIMES.lease_ms / 1000.0, 0.01
-START_S, GOES_ON_S = 300.0, 180.0  # seconds of an idle machine, minutes of one that is busy with other work
 BEGINS = "-- begins again"  # a line of ours among those of a process
 FAULTS = ("fault", "Traceback")
 
@@ -43,85 +34,6 @@
     text: str
 
 
-class Asked(NamedTuple):
-    """An operator's order with its answer."""
-
-    who: str
-    order: Order
-    answer: Answered
-
-
-class Operator:
-    """A client in the drill's process, behind the relay like all others. `all`: orders with answers."""
-
-    def __init__(
-        self,
-        name: str,
-        group: Group,
-        tables: Mapping[str, type[Row]],
-        seed: int,
-        changed: Callable[[Changed], None] | None = None,
-        kind: words.Kind = "operator",
-    ):
-        ports = {target: ("127.0.0.1", port) for (source, target), port in group.relayed.items() if source == name}
-        self.name, self.changed = name, changed
-        self.client = Client(name, kind, tuple(ports), TIMES, random.Random(f"{seed} {name}"), tables)
-        self.dial = Dial(self.client, "drill", group.key, ports, self.hear)
-        self.asked: dict[int, Order] = {}
-        self.answers: dict[int, Answered | None] = {}
-        self.all: list[Asked] = []
-
-    def hear(self, event: Event) -> None:
-        if isinstance(event, Answered):
-            self.answers[event.seq] = event
-            self.all.append(Asked(self.name, self.asked[event.seq], event))
-        elif isinstance(event, Unknown):
-            self.answers[event.seq] = None
-        elif isinstance(event, Changed) and self.changed is not None:
-            self.changed(event)
-
-    @property
-    def settled(self) -> bool:
-        """Nothing that it asked is still on its way."""
-        return len(self.answers) == len(self.asked)
-
-    @property
-    def place(self) -> int:
-        """Where in the log its last agreed order stands."""
-        return max((one.answer.index for one in self.all), default=0)
-
-    def say(self, piece: str, order: Order) -> int:
-        seq = self.client.ask(now_ms(), piece, order)
-        self.asked[seq] = order
-        self.dial.stir()
-        return seq
-
-    def try_to_say(self, piece: str, order: Order) -> int | None:
-        """As `say`; None where as many questions are open as a client may have."""
-        try:
-            return self.say(piece, order)
-        except TooMany:
-            return None
-
-    async def ask(self, piece: str, order: Order, within_s: float = GOES_ON_S) -> Answered | None:
-        """None: what became of it is not known, or not yet. With too many open questions it waits for a place."""
-        with anyio.move_on_after(within_s):
-            while (seq := self.try_to_say(piece, order)) is None:
-                await anyio.sleep(LOOK_S)
-            while seq not in self.answers:
-                await anyio.sleep(LOOK_S)
-            return self.answers[seq]
-        return None
-
-    async def agreed(self, piece: str, order: Order, within_s: float = GOES_ON_S) -> Answered | None:
-        """The answer that takes an order which may be said twice: it is asked again until there is one."""
-        with anyio.move_on_after(within_s):
-            while (answer := await self.ask(piece, order, within_s)) is None or not answer.ok:
-                await anyio.sleep(LOOK_S)
-            return answer
-        return None
-
-
 class Town:
     """One seed's keepers and whoever is added; `callers` are all who speak to keepers."""
 
--- a/brookreach/drills/power_processes.py
+++ b/brookreach/drills/power_processes.py
@@ -16,7 +16,8 @@
 import msgspec
 
 from brookreach.drills import gangs_processes
-from brookreach.drills.pieces_processes import KEEPERS, LEASE_S, Operator
+from brookreach.drills.operators import LEASE_S, Operator
+from brookreach.drills.pieces_processes import KEEPERS
 from brookreach.drills.power_watch import Sent, Spans, Watch
 from brookreach.drills.processes import Children, played
 from brookreach.drills.report import Report
--- a/tests/test_drill_reports.py
+++ b/tests/test_drill_reports.py
@@ -10,7 +10,7 @@
 from click.testing import CliRunner
 
 from brookreach.cli.drill import drill
-from brookreach.drills import pieces_processes, power_processes
+from brookreach.drills import operators, power_processes
 from brookreach.drills.ports import NoPorts, Ports
 from brookreach.drills.processes import Child, played
 from brookreach.drills.report import REPORTS, NotReported, Report, gathered, report_of
@@ -84,7 +84,7 @@
     """A client whose keepers are slow to answer may have no place for another question."""
 
     async def test_it_waits_for_a_place(self):
-        operator = object.__new__(pieces_processes.Operator)
+        operator = object.__new__(operators.Operator)
         operator.answers, tries = {1: "agreed"}, []
 
         def say(piece, order):
