--- a/brookreach/drills/outages_processes.py
+++ b/brookreach/drills/outages_processes.py
@@ -14,9 +14,10 @@
 import anyio
 
 from brookreach.drills import stand
+from brookreach.drills.operators import GOES_ON_S, START_S, Operator
 from brookreach.drills.outages_breaks import BREAKS, Breaks
 from brookreach.drills.outages_watch import Call, Watch
-from brookreach.drills.pieces_processes import GOES_ON_S, KEEPERS, START_S, Operator, Town
+from brookreach.drills.pieces_processes import KEEPERS, Town
 from brookreach.drills.processes import Children, played
 from brookreach.drills.report import Report
 from brookreach.net.stream import address
@@ -180,8 +181,8 @@
         await self.resume()
         await town.until(self.whole, "all come back and all permits end", GOES_ON_S, self.lacks)
         await town.down(KEEPERS, 0.1)
-        await town.until(lambda: self.eye.client.joined, "all keepers begin again")
-        answer = await self.ann.ask("outages", orders.AskDrain("last", self.names[0], 5, "drill"))
+        await town.until(lambda: all(town.listens(one) for one in KEEPERS), "all keepers begin again")
+        answer = await self.ann.agreed("outages", orders.AskDrain("last", self.names[0], 5, "drill"))
         town.look("drains go on after all", answer is not None and answer.ok, lambda: f"answered {answer}")
         place = answer.index if answer else 0
         await town.until(lambda: self.watch.index >= place and self.whole(), "the last drain ends", why=self.lacks)
