--- /dev/null
+++ b/tests/test_endings_nodes_bytes.py
@@ -0,0 +1,56 @@
+"""Bytes of large answers and statements on connections to nodes: copied, bounded, given back."""
+
+import unittest
+from contextlib import closing
+
+from brookreach import interface as ifc
+from brookreach.net import pgwire
+
+from .peers_nodes import Rig, row
+
+OK, ERROR, PUSHED, TIMEOUT, NO_CONNECT, RESET, _, _ = ifc.Ending
+
+
+class BytesTest(unittest.TestCase):
+    def test_an_answer_outlives_its_connections_buffer(self):
+        for size in (10, 400, 60_000):  # of one buffer that is used again, of one that grows and is given back
+            self.outlives([bytes([n]) * size for n in range(1, 4)])
+
+    def outlives(self, values):
+        with closing(Rig()) as rig:
+            room = rig.nodes.pool.free
+            rig.pick(1)
+            node = rig.peer.taken_one()
+            for rpc, value in enumerate(values, 1):
+                node.asked(rpc)
+                node.send(row(value))
+                self.assertEqual(rig.ending(rpc), OK)
+                rig.until(lambda: rig.idle() == 1)
+                if rpc < 3:
+                    rig.pick(rpc + 1)
+            for rpc, value in enumerate(values, 1):
+                self.assertEqual(b"".join(rig.ended[rpc, 0].answer) + pgwire.READY, row(value))
+            rig.link().drop()
+            self.assertEqual(rig.nodes.pool.free, room)
+
+    def test_large_answers_without_room(self):
+        """The pool has room for one: the other's pick ends as a reset, and its room comes back."""
+        with closing(Rig(large=100_000)) as rig:
+            rig.pick(1)
+            one = rig.peer.taken_one()
+            rig.pick(2)
+            other = rig.peer.taken_one()
+            one.asked()
+            other.asked()
+            answer = row(b"x" * 60_000)
+            one.send(answer[:-100])
+            rig.until(lambda: rig.nodes.pool.free < 60_000)
+            rig.until(lambda: not one.read() and rig.nodes.links == 2)
+            other.send(answer)
+            self.assertEqual(rig.ending(2), RESET)
+            one.send(answer[-100:])
+            self.assertEqual(rig.ending(1), OK)
+            self.assertEqual(b"".join(rig.ended[1, 0].answer) + pgwire.READY, answer)
+            rig.until(lambda: rig.idle() == 1)
+            rig.link().drop()
+            self.assertEqual(rig.nodes.pool.free, 100_000)
