--- a/brookreach/net/clients.py
+++ b/brookreach/net/clients.py
@@ -65,7 +65,7 @@
         unread is passed over; one that has half an RPC comes last."""
         rows = [self.silent, self.idle] if len(self.silent) > len(self.idle) else [self.idle, self.silent]
         for row in [*rows, self.half]:
-            for client in list(islice(row, self.limits.pipelined)):
+            for client in list(islice(row, self.limits.messages)):
                 asks = client.slots or client.rest or row is self.idle and len(client.inbound)
                 if not asks and client.quiet():
                     client.end()
@@ -88,6 +88,9 @@
     def sweep(self) -> None:
         """Close what has been silent, half said or stalled for too long, and in a full house what rests."""
         now, limits = time.monotonic(), self.limits
+        for client in self.open:
+            if not client.reading and not len(client.inbound) and client.quiet():
+                client.unread_since = now  # whatever lies unread later has come later
         for client in older(self.stalled, now - limits.stalled_s):
             client.end()
         for row in (self.silent, self.half):
@@ -138,9 +141,9 @@
             client.leave()
         self.ends_at = time.monotonic() + self.limits.drain_s - self.limits.linger_s + self.limits.past_s
 
-    def ends_before(self, wait_ms: float) -> bool:
-        """Whether we may have ended before an RPC that comes now has its answer."""
-        return time.monotonic() + wait_ms / 1000.0 > self.ends_at
+    def ends_before(self, due: float) -> bool:
+        """Whether we may have ended before an RPC that is due then, by the monotonic clock, has its answer."""
+        return due > self.ends_at
 
 
 def older(row: OrderedDict[Client, float], than: float) -> list[Client]:
--- a/brookreach/net/limits.py
+++ b/brookreach/net/limits.py
@@ -11,7 +11,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-from brookreach.facts import LISTS_ON_REQUEST, FactsError, Told
+from brookreach.facts import LISTS_ON_REQUEST
+from brookreach.settings_reader import SettingsError, SettingsObject
 
 KIB, MOST_MB = 1024, 1e9
 
@@ -41,7 +42,9 @@
     body: int = 4096 * KIB  # a discovery or platform answer
     line: int = 64 * KIB  # one object of the feed
     backlog: int = 512  # connections that the kernel takes for us ahead: a crowd comes at once
-    pipelined: int = 8  # RPCs under way on one client connection, and messages of it handled in one turn
+    messages: int = 8  # of one client connection handled in one turn, and RPCs of it that may be under way always
+    pipelined: int = 32  # RPCs of one client connection under way; those written ahead of that lie unread
+    written_ahead: int = 8 * 192 * KIB  # past `messages`, bytes that its RPCs under way and waiting answers may hold
     faults: int = 8  # statements that can't be taken, until their connection is closed
     silent_s: float = 2.0  # a connection that has asked nothing, or half a message, is closed after this
     rest_s: float = 2.0  # one idle for so long is closed while over half of the connections are taken
@@ -66,8 +69,8 @@
 
 
 def limits_from(limits: Mapping[str, Any], told: Mapping[str, Any]) -> Limits:
-    """`limits` as the configuration words them, `told` the settings. Raises FactsError."""
-    settings, given = Told(told, "settings"), Told(limits, "limits")
+    """`limits` as the configuration words them, `told` the settings. Raises SettingsError."""
+    settings, given = SettingsObject(told, "settings"), SettingsObject(limits, "limits")
     allowed, sockets = settings.object("allowed"), given.count("sockets")
     longest = max([one.ms("hardLimitUs") for one in settings.objects("classes")], default=0.0) / 1000.0
     # A connection costs a descriptor and, at rest, some 4 KiB; a quarter of the memory is for these, a
@@ -76,7 +79,7 @@
     memory = int(given.number("memory_mb", MOST_MB) * 1024 * KIB)
     room = min(sockets - 24, memory // 4 // (8 * KIB))
     if room < 16:
-        raise FactsError(
+        raise SettingsError(
             f"limits.sockets {sockets} or limits.memory_mb {memory / KIB / KIB:g} leave no room for connections"
         )
     # One service answers all marshals in turn and may take 2 s for it: who leaves the queue before that
