Late answers and pushbacks spend what second copies are sent from, where a marshal sees few

Picks an RPC rise from 1.01 in the burst to 1.19 after it, and no pick was full or failed then: these are second copies. Nodes end what nobody waits for, so a copy is a copy's work in full. Checked and ruled out: ejection for slow answers that all share. Lines: desk.py, taken_in, which earned a copy for ten RPCs also while they were refused or late. Mend: each answer past its soft deadline and each pushback spends one, where a marshal sees few.

--- a/brookreach/desk.py
+++ b/brookreach/desk.py
@@ -4,8 +4,7 @@
 
 from brookreach.charts import BEAT_MS, FLOOR, on_trial, warmth
 from brookreach.interface import (
-    Abort, Action, Ending, Group, NodeEntry, Pick, PickEnded, PushBack, Repeat, RpcGone, RpcTaken, SetTimer,
-    Start)
+    Abort, Action, Ending, Group, NodeEntry, Pick, PickEnded, PushBack, Repeat, RpcGone, RpcTaken, SetTimer, Start)
 from brookreach.judge import Judge
 from brookreach.parts import Due, Ring, Rpc
 from brookreach.roster import CARRIED_MS, ERRING, SILENT, Roster, may_go, may_have_run, window_ms
@@ -37,8 +36,7 @@
             usual = self.usual_cost.get(rpc.method, rpc.cost)
             self.usual_cost[rpc.method] = usual + 0.02 * (rpc.cost - usual)
         self.acts.append(SetTimer(max(0.0, rpc.end - now - 6.0), 4 * rpc.id + RPC_END))
-        jam = self.crowded(now, rpc) if self.few else (
-            self.chance.random() < min(0.9, 3.0 * (self.late(now) - 0.35)))
+        jam = self.crowded(now, rpc) if self.few else self.chance.random() < min(0.9, 3.0 * (self.late(now) - 0.35))
         if jam or len(self.rpcs) > self.permits.max_open:
             return self.give_up(now, rpc)  # at once: what can't be answered in time only makes others late
         self.waiting[rpc.id] = rpc.soft
@@ -113,6 +111,7 @@
         its, later = rpc.facts, min(self.permits.come_back_ms, 500.0) * self.permits.come_back
         again = not may_have_run(rpc) or (later < window_ms(rpc, now) and (its.repeat, its.group) in HARMLESS)
         self.acts.append(PushBack(rpc.id, later) if again else Abort(rpc.id))
+        self.spare -= min(1.0, self.spare) if self.few else 0.0
         self.finish(rpc)
 
     def finish(self, rpc: Rpc) -> None:
@@ -146,8 +145,9 @@
         long = self.long(now, typical, rpc.facts.soft_ms, entry.build)
         self.nodes[entry.node].tell("ended", now, event, entry, pick[1], typical, long, self.usual)
         if event.ending == Ending.OK:
-            if self.few and event.final and now < rpc.soft:
-                self.good.add(now)
+            if self.few and event.final:
+                self.good.add(now, now < rpc.soft)
+                self.spare -= min(self.spare, float(now >= rpc.soft))  # a late answer is paid as a copy is
             work = min(event.took_ms, 0.5 * rpc.facts.soft_ms)  # queues are no work
             self.usual_ms[rpc.method] += 0.02 * (work - self.usual_ms[rpc.method])
             if warmth(entry, now - CARRIED_MS, self.guards) >= 1.0:
