--- /dev/null
+++ b/tests/test_judge_scale.py
@@ -0,0 +1,78 @@
+"""What an outcome costs while a build is on trial does not grow with the nodes held or the methods: work is counted, not time."""
+
+import unittest
+
+from brookreach import interface as ifc
+
+from .world import World, method, node, start
+
+TIMES_MS = [50.0 + 37 * nth % 101 for nth in range(101)]  # alike on both builds
+
+
+class Counted(list):
+    """A list that counts the rows read from it."""
+
+    rows = 0
+
+    def __iter__(self):
+        for one in super().__iter__():
+            Counted.rows += 1
+            yield one
+
+
+class CountedCharts(dict):
+    """Charts by stream that count how many are looked through."""
+
+    rows = 0
+
+    def items(self):
+        CountedCharts.rows += len(self)
+        return super().items()
+
+
+def rows_read(nodes, methods=1):
+    """Rows of nodes and charts that 200 RPCs of a build on trial, well under its threshold, have read; and how many ended."""
+    world = World(start(methods=[method(name=f"m{nth}") for nth in range(methods)]))
+    world.nodes(*[node(number, build=1 + number % 2) for number in range(1, nodes + 1)])
+    world.news(2, 2, 1.0)
+    judge = world.marshal.judge
+    for nth in range(2 * methods + 50):  # each method's charts stand
+        world.end(world.rpc(nth % methods), took=TIMES_MS[nth % len(TIMES_MS)])
+    judge.ready, judge.charts = Counted(judge.ready), CountedCharts(judge.charts)
+    Counted.rows = CountedCharts.rows = 0
+    seen = judge.seen
+    for nth in range(200):
+        took = TIMES_MS[nth % len(TIMES_MS)]
+        world.end(world.rpc(nth % methods), ifc.Ending.ERROR if nth % 100 == 99 else ifc.Ending.OK, took)
+    return Counted.rows, CountedCharts.rows, judge.seen - seen
+
+
+class ScaleTest(unittest.TestCase):
+    def test_outcomes_read_no_node_but_their_own(self):
+        for nodes in (150, 1500):
+            read, _, seen = rows_read(nodes)
+            self.assertGreater(seen, 50, "outcomes of the build on trial")
+            self.assertEqual(read, 0, f"{nodes} nodes")
+
+    def test_outcomes_read_no_other_stream(self):
+        for methods in (3, 60):
+            _, read, seen = rows_read(150, methods)
+            self.assertGreater(seen, 50, "outcomes of the build on trial")
+            self.assertEqual(read, 0, f"{methods} methods")
+
+    def test_nodes_that_come_and_go_are_counted_at_once(self):
+        """The bound on what one node adds, and the log line, follow the list."""
+        world = World()
+        world.nodes(*[node(number, build=1 + number % 2) for number in range(1, 9)])
+        world.news(2, 0, 0.1)
+        self.assertEqual(world.marshal.judge.trial_nodes, 4)
+        world.nodes(node(9, build=2), node(1, build=2, state=ifc.NodeState.DRAINING), kind=ifc.ListKind.DELTA)
+        self.assertEqual(world.marshal.judge.trial_nodes, 4)
+        world.nodes(node(3, build=2, state=ifc.NodeState.GONE), kind=ifc.ListKind.DELTA)
+        self.assertEqual(world.marshal.judge.trial_nodes, 3)
+        world.news(3, 0, 0.1)
+        self.assertEqual(world.marshal.judge.trial_nodes, 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
