Counts of an RPC on trial are held to what they are now: 1.42 times at eight times the nodes

Need: the bounds stood at the growth before trial nodes were counted with the list (6.1, 5.1; methods 1.45). Measured: the test's own counts, 628 to 889 lines in the median, 860 to 1,121 for 99 in 100, 530 of 628 with 240 methods. The bounds are now 1.42, 1.31 and 1.01.

--- a/tests/test_scale_marshal.py
+++ b/tests/test_scale_marshal.py
@@ -20,8 +20,6 @@
 FEW, MANY = 150, 1200  # nodes; the second is eight times the first
 RPCS = 300
 QUIET, TRIAL, COLD, DRAINS = (kind.name for kind in marshal_situations.SITUATIONS)
-if __name__ == "__main__":
-    unittest.main()
 
 
 @cache
@@ -46,8 +44,8 @@
         self.assertLessEqual(growth(DRAINS, lambda cost: cost.rpc.p50), 1.01)  # 430, 430
 
     def test_an_rpc_on_trial_grows_no_more_than_today(self):
-        self.assertLessEqual(growth(TRIAL, lambda cost: cost.rpc.p50), 6.1)  # 961, 5,768: each step counts the nodes
-        self.assertLessEqual(growth(TRIAL, lambda cost: cost.rpc.p99), 5.1)  # 1,193, 6,004
+        self.assertLessEqual(growth(TRIAL, lambda cost: cost.rpc.p50), 1.42)  # 628, 889
+        self.assertLessEqual(growth(TRIAL, lambda cost: cost.rpc.p99), 1.31)  # 860, 1,121
 
     def test_one_rpc_in_a_hundred_while_nodes_are_cold_or_drain_grows_no_more_than_today(self):
         self.assertLessEqual(growth(COLD, lambda cost: cost.rpc.p99), 7.2)  # 3,790, 26,869: nodes sorted anew
@@ -66,7 +64,7 @@
         self.assertLessEqual(many[QUIET].rpc.p50 / few[QUIET].rpc.p50, 1.01)  # 430, 430
         self.assertLessEqual(many[COLD].rpc.p50 / few[COLD].rpc.p50, 1.01)  # 430, 430
         self.assertLessEqual(many[DRAINS].rpc.p50 / few[DRAINS].rpc.p50, 1.01)  # 430, 430
-        self.assertLessEqual(many[TRIAL].rpc.p50 / few[TRIAL].rpc.p50, 1.45)  # 961, 1,339: each step looks at charts
+        self.assertLessEqual(many[TRIAL].rpc.p50 / few[TRIAL].rpc.p50, 1.01)  # 628, 530
         self.assertLessEqual(many[QUIET].beat / few[QUIET].beat, 1.25)  # 1,086, 1,323
 
     def test_no_decision_looks_at_tenants(self):
--- a/tests/test_scale_marshal_command.py
+++ b/tests/test_scale_marshal_command.py
@@ -29,8 +29,6 @@
 FEW, MANY = 150, 1200  # nodes; the second is eight times the first
 RPCS = 300
 QUIET, TRIAL, COLD, DRAINS = (kind.name for kind in marshal_situations.SITUATIONS)
-if __name__ == "__main__":
-    unittest.main()
 
 
 @cache
