Log why each client connection is closed, and the requests that it met without an answer

Need: the reported logs tell neither why a connection ended nor which requests it met, so two of the five hypotheses can't be told apart. Change: each close has a reason; an RPC that loses its connection is named with it and its picks; the last line of a stop counts the reasons.

--- a/brookreach/__main__.py
+++ b/brookreach/__main__.py
@@ -166,7 +166,10 @@
     async def stop(self, all_tasks: anyio.CancelScope) -> None:
         self.report.say("marshal", f"stops, {len(self.driver.open)} RPCs under way")
         await self.clients.stop()
-        self.report.say("marshal", f"ends, {len(self.driver.open)} RPCs unanswered")
+        closes = ", ".join(f"{count} {why}" for why, count in self.clients.closes.most_common(CLOSES_SHOWN))
+        self.report.say(
+            "marshal", f"ends, {len(self.driver.open)} RPCs unanswered; connections closed: {closes or 'none'}"
+        )
         for one in self.beside:
             await one.ends()
         all_tasks.cancel()
@@ -178,6 +181,7 @@
             self.clients.sweep()
 
 
+CLOSES_SHOWN = 8  # reasons for closing connections, the most frequent first
 EARLY: list[int] = []  # SIGHUPs that came before the parts were there
 
 
--- a/brookreach/net/client.py
+++ b/brookreach/net/client.py
@@ -30,7 +30,7 @@
 
     def shorten(self, rpc: int, due: float) -> None: ...
 
-    def gone(self, rpc: int) -> None: ...
+    def gone(self, rpc: int, why: str) -> None: ...
 
 
 class Client(Stream):
@@ -111,7 +111,7 @@
         if code in (pgwire.SSL, pgwire.GSSENC):
             self.send([b"N"])
         elif code == pgwire.CANCEL:
-            self.broke("a cancel request, which this protocol has no use for")
+            self.end("a cancel request, which this protocol has no use for")
         elif code >> 16 == 3:
             self.started = True
             self.send([pgwire.WELCOME])
@@ -163,7 +163,7 @@
 
     def broke(self, why: str) -> None:
         if not why.startswith("not the protocol"):
-            self.end()
+            self.end(why)
             return
         self.home.report.say("client", why)
         error = pgwire.error(b"08P01", why, ready=False)
@@ -177,7 +177,7 @@
     def give_up(self, why: str) -> None:
         """Take no more of what comes; what was asked before is answered first."""
         if not self.slots and not self.rest:
-            self.end()
+            self.end(why)
         elif not self.leaving:
             self.home.report.say("client", f"{why}: closed behind the answers under way")
             self._take_no_more()
@@ -196,13 +196,14 @@
             if not self.home.stopping:  # then it is closed in time, should its client not do it
                 self.home.silent.setdefault(self, time.monotonic())
 
-    def end(self) -> None:
+    def end(self, why: str) -> None:
+        """Close it at once; RPCs that have no answer are given up for this reason."""
         if self.closed:
             return
         self.close()
         for rpc in self.slots.clear():
-            self.home.taker.gone(rpc)
-        self.home.left(self)
+            self.home.taker.gone(rpc, why)
+        self.home.left(self, why)
 
     # --- writing ---
 
@@ -219,8 +220,8 @@
             return
         try:
             self.send(ready)
-        except OSError:
-            self.end()
+        except OSError as error:
+            self.end(f"its answer can't be written: {error}")
             return
         if self.rest:
             self.home.stalled.setdefault(self, time.monotonic())
--- a/brookreach/net/clients.py
+++ b/brookreach/net/clients.py
@@ -7,7 +7,7 @@
 
 import math
 import time
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from itertools import islice
 
 import anyio
@@ -29,6 +29,7 @@
         self.idle: OrderedDict[Client, float] = OrderedDict()
         self.half: OrderedDict[Client, float] = OrderedDict()
         self.stalled: OrderedDict[Client, float] = OrderedDict()
+        self.closes: Counter[str] = Counter()  # connections that have ended, by reason
         self.pool = pgwire.Pool(limits.large)
         self.resumable: list[Client] = []  # to be looked at again for RPCs that have come already
         self.stopping = self.deaf = False
@@ -68,7 +69,7 @@
             for client in list(islice(row, self.limits.messages)):
                 asks = client.slots or client.rest or row is self.idle and len(client.inbound)
                 if not asks and client.quiet():
-                    client.end()
+                    client.end("makes way for a new connection")
                     return True
         return False
 
@@ -76,7 +77,8 @@
         self.silent.pop(client, None)
         self.idle.pop(client, None)
 
-    def left(self, client: Client) -> None:
+    def left(self, client: Client, why: str) -> None:
+        self.closes[why.partition(":")[0]] += 1
         self.open.discard(client)
         for row in (self.silent, self.idle, self.half, self.stalled):
             row.pop(client, None)
@@ -92,7 +94,7 @@
             if not client.reading and not len(client.inbound) and client.quiet():
                 client.unread_since = now  # whatever lies unread later has come later
         for client in older(self.stalled, now - limits.stalled_s):
-            client.end()
+            client.end("takes nothing of its answer")
         for row in (self.silent, self.half):
             for client in older(row, now - limits.silent_s):
                 client.read_up()  # what came in this instant is not lost
@@ -107,7 +109,7 @@
                 return
             client.read_up()
             if client in self.idle and not len(client.inbound):
-                client.end()
+                client.end("idle")
 
     def catch_up(self) -> bool:
         """Take what came while its connection had enough under way; whether some have still more."""
--- a/brookreach/net/driver.py
+++ b/brookreach/net/driver.py
@@ -92,9 +92,12 @@
         if rpc in self.open:
             self.put(ifc.DeadlineShortened(rpc, self.clock.at(due)))
 
-    def gone(self, rpc: int) -> None:
+    def gone(self, rpc: int, why: str) -> None:
+        """Its connection has ended, for this reason: nobody is left to answer."""
         held = self.open.leave(rpc)
         if held is not None:
+            name = held.statement.name.decode()
+            self.report.say("rpc", f"{name}: no answer after {held.picks} picks, its connection ended: {why}")
             for nth in range(held.picks):
                 self.nodes.unwanted(rpc, nth)
             self.put(ifc.RpcGone(rpc))
--- a/tests/peers_clients.py
+++ b/tests/peers_clients.py
@@ -46,7 +46,7 @@
         assert rpc in self.slots and due < self.due[rpc], "only an open RPC becomes due, and sooner"
         self.due[rpc] = due
 
-    def gone(self, rpc):
+    def gone(self, rpc, why):
         self.left.append(rpc)
 
     def answer(self, number, value=None):
--- a/tests/test_endings_links.py
+++ b/tests/test_endings_links.py
@@ -76,7 +76,7 @@
         rpc = whole.driver.take(asked(True, 1, code=code), Answered(whole.answers, 1), whole.poller.since)
         node = whole.peers[0].taken_one()
         whole.until(lambda: [link for link in whole.poller.watched.values() if getattr(link, "at", 0) == 3])
-        whole.driver.gone(rpc)
+        whole.driver.gone(rpc, "end of stream")
         whole.turn()
         return node, list(whole.driver.nodes.in_flight)
 
--- a/tests/test_left_picks.py
+++ b/tests/test_left_picks.py
@@ -38,7 +38,7 @@
     def test_the_copy_that_is_decided_after_the_client_has_left_is_moot_by_its_own_number(self):
         whole, rpc, held, connection = self.whole()
         with closing(whole):
-            whole.driver.gone(rpc)
+            whole.driver.gone(rpc, "end of stream")
             whole.until(lambda: len(held.picks) == 2 and held.picks[1][2] is not None)
             self.assertEqual([pick[2] for pick in held.picks], [None, ifc.Ending.MOOT])
             first, second = (held.picks[at][0].node for at in (0, 1))
@@ -54,7 +54,7 @@
     def test_nothing_is_kept_of_it_once_the_module_has_heard(self):
         whole, rpc, held, connection = self.whole()
         with closing(whole):
-            whole.driver.gone(rpc)
+            whole.driver.gone(rpc, "end of stream")
             whole.turn()
             self.assertEqual(whole.driver.open.left, {})
             connection.send(SELECTED)
--- a/tests/test_mutation_clients.py
+++ b/tests/test_mutation_clients.py
@@ -240,7 +240,7 @@
 
     def test_ends_where_it_owes(self):
         def answer(slot, buffers):
-            slot.client.end()
+            slot.client.end("a defect")
 
         self.assertIn("ended over whole and good messages", " ".join(self.found(answer=answer)))
 
