--- a/brookreach/cli/drill.py
+++ b/brookreach/cli/drill.py
@@ -19,6 +19,7 @@
     "gangs": "brookreach.simulation.gang_scheduling.drill",
     "power": "brookreach.simulation.carbon_aware.drill",
     "scope": "brookreach.simulation.subsetting.drill",
+    "balancer": "brookreach.simulation.balancer.drill",
 }
 
 
--- /dev/null
+++ b/brookreach/simulation/balancer/messages.py
@@ -0,0 +1,55 @@
+"""Messages of PostgreSQL's protocol on one stream of a stand-in."""
+
+from __future__ import annotations
+
+import time
+
+from anyio.abc import ByteStream
+
+from brookreach.net import pgwire
+from brookreach.simulation.stand_ins import into
+
+MAX_MESSAGE_BYTES = 1 << 20
+POOL_BYTES = 1 << 22
+
+
+class MessageStream:
+    """Reads messages from a stream.
+
+    Attributes:
+        stream: The stream; whoever made it closes it.
+        began_at: When the first byte of the last message was read, in s.
+    """
+
+    def __init__(self, stream: ByteStream):
+        self.stream = stream
+        self.began_at = 0.0
+        self._inbound = pgwire.Inbound(MAX_MESSAGE_BYTES, pgwire.Pool(POOL_BYTES))
+
+    async def receive(self) -> tuple[bytes, bytes]:
+        """Return the tag and the body of the next message.
+
+        Raises:
+            anyio.EndOfStream: The other side has ended the stream.
+            anyio.BrokenResourceError: The connection is broken.
+        """
+        while True:
+            if len(self._inbound) == 0:
+                await self._receive_some()
+            self.began_at = time.monotonic()
+            message = self._inbound.message()
+            while message is None:
+                await self._receive_some()
+                message = self._inbound.message()
+            return message[0], bytes(message[1])
+
+    async def receive_startup(self) -> bytes:
+        """Return the body of the startup message."""
+        body = self._inbound.startup()
+        while body is None:
+            await self._receive_some()
+            body = self._inbound.startup()
+        return bytes(body)
+
+    async def _receive_some(self) -> None:
+        into(self._inbound, await self.stream.receive())
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -11,6 +11,7 @@
 REAL_TIME_FILES = frozenset(
     {
         "tests/test_mutation_services.py",
+        "tests/test_stop_deadline.py",
         "tests/disruption/test_operator_commands.py",
         "tests/disruption/test_processes.py",
         "tests/simulation/test_application_drills.py",
