--- a/brookreach/__main__.py
+++ b/brookreach/__main__.py
@@ -16,36 +16,31 @@
 import gc
 import os
 import random
+import time
 import traceback
 from collections.abc import Callable, Mapping
 from pathlib import Path
-from typing import Any, Protocol
+from typing import Any
 
 import anyio
 
 from brookreach import facts
 from brookreach import interface as ifc
 from brookreach.configuration import BadStart, address_from, configuration, seed_from
+from brookreach.net.beside import Beside
 from brookreach.net.clients import Clients
 from brookreach.net.discovery import BAD_JSON, Discovery
+from brookreach.net.drain import Drain
 from brookreach.net.driver import Clock, Driver
 from brookreach.net.limits import Limits, limits_from
+from brookreach.net.listener import EXHAUSTED
 from brookreach.net.platform import PHASES, Platform, news_from
+from brookreach.net.poller import Poller
 from brookreach.net.report import Report, Writers
-from brookreach.net.stream import Poller, address
+from brookreach.net.stream import address
 from brookreach.settings_reader import SettingsError, SettingsObject
 
 
-class Beside(Protocol):
-    """A task of what the platform's `run` does not have. It must never raise, nor make a stop wait."""
-
-    async def run(self) -> None: ...
-
-    def stops(self) -> None: ...
-
-    async def ends(self) -> None: ...
-
-
 class Parts:
     """All parts of one marshal, built from its configuration."""
 
@@ -58,7 +53,8 @@
             name, self.at, _ = top.text("name"), top.text("listen"), address_from(top, "listen")
             self.report = Report(name, self.limits.lines, lines(name) if lines else None)
             self.poller = Poller(self.limits.sockets, self.fault)
-            self.driver = Driver(start, self.limits, self.report, Clock(), self.poller)
+            self.drain = Drain(self.limits)
+            self.driver = Driver(start, self.limits, self.report, Clock(), self.poller, self.drain)
             self.told, self.stops, self.serving = told, False, anyio.Event()
             self.beside: list[Beside] = []  # what `run` switches on
             chance = random.Random(start.seed)
@@ -133,11 +129,16 @@
             for task in (self.driver.run, self.platform.follow, self.discovery.follow, *beside):
                 tasks.start_soon(task)
             # Open to the end: a signal that comes while it stops must not end it either.
-            with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+            with anyio.open_signal_receiver(*STOPS, signal.SIGHUP) as signals:
+                self._note_stops()
                 # What the agent has counts as told from our first moment: no RPC before it is heard.
                 with anyio.move_on_after(self.limits.first_s):
                     await self.discovery.heard.wait()
-                if not self.listen():
+                if self.drain.has_begun:
+                    self.report.say("marshal", "stops before it serves")
+                    tasks.cancel_scope.cancel()
+                    return
+                if not await self.listen():
                     tasks.cancel_scope.cancel()
                     return
                 tasks.start_soon(self.sweep)
@@ -154,22 +155,40 @@
                             one_beside.stops()
                         tasks.start_soon(self.stop, tasks.cancel_scope)
 
-    def listen(self) -> bool:
-        try:
-            self.clients = Clients(self.limits, self.report, self.poller, self.driver, self.at)
-        except OSError as error:
-            self.taken = error
-            return False
-        self.driver.between = self.clients.catch_up
-        return True
+    def _note_stops(self) -> None:
+        """Fix the end of a stop as its signal comes: the loop, which the receiver wakes, may be late."""
+        for number in STOPS:
+            signal.signal(number, lambda _number, _frame: self.drain.begin())
+            signal.siginterrupt(number, False)
+
+    async def listen(self) -> bool:
+        """Whether it listens; tried again for a while where the machine has no room for the socket."""
+        for _ in range(LISTEN_TRIES):
+            try:
+                self.clients = Clients(self.limits, self.report, self.poller, self.driver, self.at, self.drain)
+            except OSError as error:
+                self.taken = error
+                if error.errno not in EXHAUSTED:
+                    return False
+                await anyio.sleep(LISTEN_AGAIN_S)
+            else:
+                self.taken = None
+                self.driver.between = self.clients.catch_up
+                return True
+        return False
 
     async def stop(self, all_tasks: anyio.CancelScope) -> None:
-        self.report.say("marshal", f"stops, {len(self.driver.open)} RPCs under way")
+        self.drain.begin()
+        self.driver.shorten_all()
+        within_s = self.drain.deadline - time.monotonic()
+        self.report.say("marshal", f"stops, {len(self.driver.open)} RPCs under way, answered within {within_s:.2f} s")
         await self.clients.stop()
         closes = ", ".join(f"{count} {why}" for why, count in self.clients.closes.most_common(CLOSES_SHOWN))
         self.report.say(
             "marshal", f"ends, {len(self.driver.open)} RPCs unanswered; connections closed: {closes or 'none'}"
         )
+        self.driver.abort_all()
+        self.clients.close()
         for one in self.beside:
             await one.ends()
         all_tasks.cancel()
@@ -181,6 +200,8 @@
             self.clients.sweep()
 
 
+STOPS = (signal.SIGTERM, signal.SIGINT)
+LISTEN_TRIES, LISTEN_AGAIN_S = 50, 0.1  # a machine may have no descriptor or memory for a moment
 CLOSES_SHOWN = 8  # reasons for closing connections, the most frequent first
 EARLY: list[int] = []  # SIGHUPs that came before the parts were there
 
--- a/brookreach/net/client.py
+++ b/brookreach/net/client.py
@@ -10,12 +10,14 @@
 import math
 import socket
 import time
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING
 
 from brookreach.net import pgwire
 from brookreach.net.answers import AnswerQueue, Slot
-from brookreach.net.statement import BadStatement, Statement, harmless, statement
-from brookreach.net.stream import IN, Stream
+from brookreach.net.handshake import startup_answer
+from brookreach.net.poller import IN
+from brookreach.net.statement import BadStatement, harmless, statement
+from brookreach.net.stream import Stream
 
 if TYPE_CHECKING:
     from brookreach.net.clients import Clients
@@ -23,16 +25,6 @@
 EXTENDED = (b"P", b"B", b"D", b"E", b"C", b"H")  # of the extended protocol, all but Sync
 
 
-class Taker(Protocol):
-    """What takes RPCs: the driver."""
-
-    def take(self, statement: Statement, slot: Slot, came_at: float) -> int: ...
-
-    def shorten(self, rpc: int, due: float) -> None: ...
-
-    def gone(self, rpc: int, why: str) -> None: ...
-
-
 class Client(Stream):
     """One client connection."""
 
@@ -51,8 +43,7 @@
 
     def came(self) -> None:
         self.heard = time.monotonic()
-        if self.leaving:  # it crossed our closing: the client sends it again elsewhere
-            self.inbound.head = self.inbound.tail
+        if self.leaving:
             return
         try:
             read_up = self._handle_messages()
@@ -107,16 +98,12 @@
             self.ready(IN)
 
     def _startup(self, body: memoryview) -> None:
-        code = pgwire.INT.unpack_from(body)[0] if len(body) >= 4 else 0
-        if code in (pgwire.SSL, pgwire.GSSENC):
-            self.send([b"N"])
-        elif code == pgwire.CANCEL:
+        answer = startup_answer(body)
+        if answer is None:
             self.end("a cancel request, which this protocol has no use for")
-        elif code >> 16 == 3:
-            self.started = True
-            self.send([pgwire.WELCOME])
-        else:
-            raise pgwire.BrokenStream(f"unknown startup code {code}")
+            return
+        self.started = answer == pgwire.WELCOME
+        self.send([answer])
 
     def _message(self, tag: bytes, body: memoryview) -> None:
         if tag == b"Q":
@@ -144,10 +131,7 @@
         came_at = min(self.unread_since, self.poller.since)
         try:
             one = statement(text, self.home.limits.comment)
-            due = came_at + one.wait_ms / 1000.0
-            if self.home.ends_before(due):  # it may send it again elsewhere
-                self.give_up("an RPC with more time than a marshal that stops has")
-                return
+            due = self.home.drain.due(came_at + one.wait_ms / 1000.0)
             slot.rpc = self.home.taker.take(one, slot, came_at)
             if due > time.monotonic():  # else nothing is won by ending those before it
                 slot.due = due
@@ -161,6 +145,12 @@
         self.home.busy(self)
         self.slots.add(slot)
 
+    def failed(self) -> None:
+        """What was asked before is answered; what met the defect fails, which promises nothing."""
+        if not self.closed:
+            self._in_order(pgwire.error(b"XX000", "internal error", ready=False))
+            self.give_up("a defect of ours")
+
     def broke(self, why: str) -> None:
         if not why.startswith("not the protocol"):
             self.end(why)
@@ -183,7 +173,8 @@
             self._take_no_more()
 
     def _take_no_more(self) -> None:
-        self.leaving = self.reading = True  # read on: a reset could overtake the last answer
+        # Not read on: a request that crosses our end must stay unread, for then its client sends it again elsewhere.
+        self.leaving, self.reading = True, False
         self.home.busy(self)
         self.home.half.pop(self, None)
         self.inbound.head = self.inbound.tail
@@ -246,6 +237,11 @@
             self._written()
 
     def leave(self) -> None:
-        """While we stop, end our side between RPCs, once all that has come is answered."""
-        if self.home.stopping and not (self.slots or self.rest or len(self.inbound)) and self.quiet():
+        """While we stop, end our side between RPCs, once all that has come is answered; until the drain's deadline not
+        before its first RPC, nor in the midst of one."""
+        home = self.home
+        if not home.stopping or self.leaving or self.slots or self.rest:
+            return
+        is_awaited = self in home.silent or len(self.inbound) > 0
+        if (home.is_final or not is_awaited) and self.quiet():
             self._take_no_more()
--- a/brookreach/net/clients.py
+++ b/brookreach/net/clients.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-import math
+import socket
 import time
 from collections import Counter, OrderedDict
 from itertools import islice
@@ -13,15 +13,24 @@
 import anyio
 
 from brookreach.net import pgwire
-from brookreach.net.client import Client, Taker
+from brookreach.net.client import Client
+from brookreach.net.drain import Drain
 from brookreach.net.limits import Limits
+from brookreach.net.listener import Listener, NoRoomError
+from brookreach.net.poller import Expiring, Poller
+from brookreach.net.refusals import Refusals
 from brookreach.net.report import Report
-from brookreach.net.stream import IN, Listener, Poller
+from brookreach.net.taker import Taker
+
+MADE_WAY = "makes way for a new connection"
 
 
 class Clients:
-    def __init__(self, limits: Limits, report: Report, poller: Poller, taker: Taker, at: str) -> None:
+    """Who is connected. OSError where the address can't be listened on."""
+
+    def __init__(self, limits: Limits, report: Report, poller: Poller, taker: Taker, at: str, drain: Drain) -> None:
         self.limits, self.report, self.poller, self.taker, self.at = limits, report, poller, taker, at
+        self.drain = drain
         self.open: set[Client] = set()
         # Who makes way and who is closed, each since when, the oldest first: those that have asked nothing
         # yet, those between RPCs, those with half a message, those that don't take their answers.
@@ -32,34 +41,60 @@
         self.closes: Counter[str] = Counter()  # connections that have ended, by reason
         self.pool = pgwire.Pool(limits.large)
         self.resumable: list[Client] = []  # to be looked at again for RPCs that have come already
-        self.stopping = self.deaf = False
-        self.ends_at = math.inf  # by the monotonic clock
+        self.refusals = Refusals(limits, poller, self.pool, self.listen_again)
+        self.stopping = self.is_final = self.is_closing = False  # past the last call; past the deadline; at the end
+        self.is_deaf = False  # accept is tried again when its alarm rings, or a connection has ended
         self.one_left = anyio.Event()
         self.listener: Listener | None = Listener(poller, at, limits.backlog, self.arrived)
 
     def arrived(self) -> bool:
         """Accept what the kernel has taken for us: a connection that waits there may hold an RPC that nobody
-        looks at. Where all connections hold RPCs, a new one is closed at once: its client can go elsewhere.
-        Whether more may wait there.
+        looks at. Whether more may wait there.
         """
-        try:
-            for _ in range(self.limits.sockets):
-                sock = self.listener.accept() if self.listener is not None else None
-                if sock is None:
-                    return False
-                if len(self.open) < self.limits.clients or self._make_way():
-                    self.open.add(Client(sock, self))
-                else:
-                    self.report.say("clients", f"{len(self.open)} connections with RPCs: new ones are closed")
-                    sock.close()
-        except OSError as error:  # out of descriptors or buffers: heard again when a connection has gone
-            self.report.say("clients", f"{error}: new ones wait")
-            if self.listener is not None and not self._make_way():
-                self.deaf = True
-                self.poller.watch(self.listener, 0)
+        for _ in range(self.limits.sockets):
+            if self._must_wait():
+                self._listen_again_later()
+                return False
+            try:
+                sock = self.listener.accept(self.limits.sockets) if self.listener is not None else None
+            except NoRoomError as error:
+                self.report.say("clients", f"{error}: new ones wait")
+                if error.is_ours:
+                    self._make_way()
+                self._listen_again_later()
                 return False
+            if sock is None:
+                return False
+            self._admit(sock)
         return True
 
+    def _must_wait(self) -> bool:
+        """Whether the next one would be refused, and those before it have not read yet that they were."""
+        has_room = not self.stopping and len(self.open) < self.limits.clients
+        return not has_room and not self.is_closing and self.refusals.is_full()
+
+    def _admit(self, sock: socket.socket) -> None:
+        """Where all connections hold RPCs, or we stop, a new one is told so: its client can go elsewhere."""
+        if self.stopping:
+            self.refusals.refuse(sock, pgwire.NOT_READY, "shutting down")
+        elif len(self.open) < self.limits.clients or self._make_way():
+            self.open.add(Client(sock, self))
+        else:
+            self.report.say("clients", f"{len(self.open)} connections with RPCs: new ones are refused")
+            self.refusals.refuse(sock, pgwire.PUSHED_BACK, "too many connections")
+
+    def _listen_again_later(self) -> None:
+        """Not only when a connection ends: there may be none that could."""
+        if self.listener is not None and not self.is_deaf:
+            self.is_deaf = True
+            self.listener.listens(False)
+            self.taker.alarm(self.limits.accept_again_s * 1000.0, ListenAgain(self))
+
+    def listen_again(self) -> None:
+        if self.is_deaf and self.listener is not None:
+            self.is_deaf = False
+            self.listener.listens(True)
+
     def _make_way(self) -> bool:
         """Close the connection that has been silent for longest or the one that has been idle for longest:
         between RPCs we may. Where few are silent, their first query is on its way. One whose next RPC lies
@@ -69,7 +104,11 @@
             for client in list(islice(row, self.limits.messages)):
                 asks = client.slots or client.rest or row is self.idle and len(client.inbound)
                 if not asks and client.quiet():
-                    client.end("makes way for a new connection")
+                    if row is self.silent:  # its first query may be on its way: that is answered
+                        self.refusals.refuse(client.detach(), pgwire.PUSHED_BACK, "too many connections")
+                        self.left(client, MADE_WAY)
+                    else:
+                        client.end(MADE_WAY)
                     return True
         return False
 
@@ -83,25 +122,26 @@
         for row in (self.silent, self.idle, self.half, self.stalled):
             row.pop(client, None)
         self.one_left.set()
-        if self.deaf and self.listener is not None:
-            self.deaf = False
-            self.poller.watch(self.listener, IN)
+        self.listen_again()
 
     def sweep(self) -> None:
         """Close what has been silent, half said or stalled for too long, and in a full house what rests."""
         now, limits = time.monotonic(), self.limits
+        self.refusals.sweep()
         for client in self.open:
             if not client.reading and not len(client.inbound) and client.quiet():
                 client.unread_since = now  # whatever lies unread later has come later
         for client in older(self.stalled, now - limits.stalled_s):
             client.end("takes nothing of its answer")
-        for row in (self.silent, self.half):
-            for client in older(row, now - limits.silent_s):
+        # A first query comes right behind the startup: while we stop, it is not waited for longer.
+        first_s = limits.linger_s if self.stopping else limits.silent_s
+        for row, wait_s in ((self.silent, first_s), (self.half, limits.silent_s)):
+            for client in older(row, now - wait_s):
                 client.read_up()  # what came in this instant is not lost
-                # Slow is not silent; but no RPC has more time than drain_s.
+                # Slow is not silent; but no RPC has more time than drip_s.
                 since = row.get(client, now)
-                drips = len(client.inbound) > 0 and since >= now - limits.drain_s
-                if client in row and max(since, client.heard if drips else since) < now - limits.silent_s:
+                drips = len(client.inbound) > 0 and since >= now - limits.drip_s
+                if client in row and max(since, client.heard if drips else since) < now - wait_s:
                     client.give_up("silent, or half a message for too long")
         for client in older(self.idle, now - min(limits.rest_s, limits.idle_s)):
             full = len(self.open) - len(self.silent) > limits.clients // 2
@@ -115,7 +155,7 @@
         """Take what came while its connection had enough under way; whether some have still more."""
         resumable, self.resumable = self.resumable, []
         for client in resumable:
-            if not client.closed:
+            if not client.closed and not client.leaving:
                 client.reading = True
                 client.interest()
                 client.ready(0)
@@ -123,29 +163,54 @@
 
     async def stop(self) -> None:
         """Take what still comes for a moment, finish what is under way, end the rest between RPCs."""
-        await anyio.sleep(self.limits.linger_s)
+        await anyio.sleep(self.drain.last_call - time.monotonic())
         self.last_call()
-        with anyio.move_on_after(self.ends_at - time.monotonic()):
+        await self._all_left(self.drain.deadline)
+        self.final_call()
+        await self._all_left(self.drain.end)
+
+    async def _all_left(self, at: float) -> None:
+        """Until every connection has ended, at the longest until `at`, by the monotonic clock."""
+        with anyio.move_on_after(at - time.monotonic()):
             while self.open:
                 self.one_left = anyio.Event()
                 await self.one_left.wait()
 
     def last_call(self) -> None:
-        """Nobody new from here on; what has come up to now is owed an answer, also where it lies unread."""
+        """New connections are refused from here on; what has come up to now is served, also where it lies unread."""
+        for _ in range(self.limits.backlog):
+            if not self.arrived():
+                break
         self.stopping = True
+        for client in list(self.open):
+            client.leave()
+
+    def final_call(self) -> None:
+        """The drain's deadline has come, and with it every answer: no connection is waited for."""
+        self.is_final = True
+        for client in list(self.open):
+            client.leave()
+
+    def close(self) -> None:
+        """Refuse those that still wait to be accepted, and listen no more."""
+        self.stopping = self.is_closing = True
         for _ in range(self.limits.backlog):
             if not self.arrived():
                 break
         if self.listener is not None:
             self.listener.close()
             self.listener = None
-        for client in list(self.open):
-            client.leave()
-        self.ends_at = time.monotonic() + self.limits.drain_s - self.limits.linger_s + self.limits.past_s
 
-    def ends_before(self, due: float) -> bool:
-        """Whether we may have ended before an RPC that is due then, by the monotonic clock, has its answer."""
-        return due > self.ends_at
+
+class ListenAgain(Expiring):
+    """The alarm of a listener that had no room for one more connection."""
+
+    def __init__(self, clients: Clients) -> None:
+        self.clients = clients
+
+    def expire(self) -> None:
+        self.clients.refusals.sweep()
+        self.clients.listen_again()
 
 
 def older(row: OrderedDict[Client, float], than: float) -> list[Client]:
--- a/brookreach/net/driver.py
+++ b/brookreach/net/driver.py
@@ -6,8 +6,6 @@
 
 from __future__ import annotations
 
-import heapq
-import math
 import time
 import traceback
 from collections import deque
@@ -21,22 +19,25 @@
 from brookreach.net import pgwire
 from brookreach.net.answers import Slot
 from brookreach.net.clock import Clock as Clock
+from brookreach.net.drain import Drain
 from brookreach.net.limits import Limits
 from brookreach.net.link import Listed, PickOutcome
 from brookreach.net.nodes import Nodes
 from brookreach.net.open_rpcs import OpenRpc, OpenRpcs
+from brookreach.net.poller import Expiring, Poller
 from brookreach.net.report import Report
 from brookreach.net.statement import BadStatement, Statement
-from brookreach.net.stream import Expiring, Poller
+from brookreach.net.timers import Timers
 
 
 class Driver:
-    def __init__(self, start: ifc.Start, limits: Limits, report: Report, clock: Clock, poller: Poller) -> None:
+    def __init__(
+        self, start: ifc.Start, limits: Limits, report: Report, clock: Clock, poller: Poller, drain: Drain
+    ) -> None:
         self.start, self.limits, self.report, self.clock = start, limits, report, clock
         self.methods = {method.name.encode(): at for at, method in enumerate(start.methods)}
         self.queue: deque[ifc.Event | PickOutcome] = deque()
-        self.timers: list[tuple[float, int, int | Expiring]] = []  # when, in what order set, token or alarm
-        self.set_timers = self.taken = 0
+        self.drain, self.timers, self.taken = drain, Timers(), 0
         self.open = OpenRpcs()
         self.news: ifc.RolloutNews | None = None
         self.poller = poller
@@ -46,8 +47,6 @@
         self.between: Callable[[], bool] | None = None  # called when the queue is empty; whether it has more
         self.watch: Callable[[float, object], None] | None = None  # hears events and actions, where asked for
 
-    # --- for other tasks ---
-
     def put(self, event: ifc.Event | PickOutcome) -> None:
         self.queue.append(event)
         if self.waiting is not None:
@@ -58,11 +57,7 @@
         self.put(ifc.RolloutNews(True, ifc.Ending.NO_CONNECT, vote.stage, 0.0, ifc.Phase.ON_TRIAL, 0.0, vote.build))
 
     def alarm(self, delay_ms: float, what: Expiring) -> None:
-        self._at(delay_ms, what)
-
-    def _at(self, delay_ms: float, what: int | Expiring) -> None:
-        self.set_timers += 1
-        heapq.heappush(self.timers, (self.clock.now() + delay_ms, self.set_timers, what))
+        self.timers.set(self.clock.now() + delay_ms, what)
 
     def take(self, statement: Statement, slot: Slot, came_at: float) -> int:
         """Number an RPC and hand it to the module. `came_at`, by the monotonic clock, is the earliest that its
@@ -78,7 +73,7 @@
                 method,
                 tenant=0,
                 key=statement.key,
-                deadline_ms=self.clock.at(came_at) + statement.wait_ms,
+                deadline_ms=self.clock.at(self.drain.due(came_at + statement.wait_ms / 1000.0)),
                 cost_ms=statement.cost_ms,
                 repeat=statement.repeat,
                 write=statement.write,
@@ -92,6 +87,16 @@
         if rpc in self.open:
             self.put(ifc.DeadlineShortened(rpc, self.clock.at(due)))
 
+    def shorten_all(self) -> None:
+        """What is open now is due by the drain's deadline as well; `take` sees to what comes later."""
+        for rpc in self.open.numbers():
+            self.shorten(rpc, self.drain.deadline)
+
+    def abort_all(self) -> None:
+        """Answer what is still open so that it promises nothing. The last resort: decisions answer in time."""
+        for rpc in self.open.numbers():
+            self._answer(rpc, pgwire.error(b"XX000", "aborted"))
+
     def gone(self, rpc: int, why: str) -> None:
         """Its connection has ended, for this reason: nobody is left to answer."""
         held = self.open.leave(rpc)
@@ -109,12 +114,9 @@
         self.nodes.listing(listing.kind, listed)
         self.put(listing)
 
-    # --- the task ---
-
     def begin(self) -> None:
         """A new life of the module: at the start, and again if it fails."""
-        self.timers = [timer for timer in self.timers if isinstance(timer[2], Expiring)]
-        heapq.heapify(self.timers)
+        self.timers.forget_tokens()
         self.marshal = Marshal(self.start)
         self._carry_out(self.marshal.begin(self.clock.now()))
 
@@ -127,7 +129,7 @@
             else:
                 await anyio.lowlevel.checkpoint()  # other tasks have their turn
                 continue
-            wait_s = (self.timers[0][0] - self.clock.now()) / 1000.0 if self.timers else math.inf
+            wait_s = (self.timers.next_at() - self.clock.now()) / 1000.0
             with anyio.move_on_after(max(0.0, wait_s)) as self.waiting:
                 await self.poller.wait()
             self.waiting = None
@@ -147,8 +149,8 @@
     def _one(self) -> bool:
         """Handle what is due: one event, and one timer so that a burst of events starves none."""
         now, did = self.clock.now(), False
-        if self.timers and self.timers[0][0] <= now:
-            what = heapq.heappop(self.timers)[2]
+        if self.timers.next_at() <= now:
+            what = self.timers.pop()
             if isinstance(what, Expiring):
                 try:
                     what.expire()
@@ -194,8 +196,7 @@
         """The module failed: its state can't be trusted. What it held is aborted, which promises nothing, and
         it begins a new life with what is known of nodes and builds, as after a restart."""
         self.report.say("fault", trace)
-        for rpc in self.open.numbers():
-            self._answer(rpc, pgwire.error(b"XX000", "aborted"))
+        self.abort_all()
         self.open.left.clear()  # the new life knows of none
         self.begin()
         entries = tuple(endpoint.listed.entry for endpoint in self.nodes.endpoints.values())
@@ -227,7 +228,7 @@
             case ifc.CancelPick():
                 self.nodes.cancel(action.rpc, action.nth)
             case ifc.SetTimer():
-                self._at(action.delay_ms, action.token)
+                self.timers.set(self.clock.now() + action.delay_ms, action.token)
             case ifc.Vote():
                 self.vote(action)
             case ifc.Probe():
--- a/brookreach/net/limits.py
+++ b/brookreach/net/limits.py
@@ -15,6 +15,10 @@
 from brookreach.settings_reader import SettingsError, SettingsObject
 
 KIB, MOST_MB = 1024, 1e9
+# SIGKILL comes no sooner than the longest time of an RPC, counted as 3 s where it is longer, and 0.7 s more after
+# SIGTERM (the protocol page, Figures). Of that are kept back: 0.15 s for a process that is held up as the signal comes,
+# 0.15 s for one that is held up as it answers, and 0.1 s for its end.
+KILL_LIMIT_S, KILL_MARGIN_S, STOP_RESERVE_S = 3.0, 0.7, 0.4
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,7 +30,8 @@
     dial_s: float  # a connection to a node is up within this or never
     idle_s: float  # an idle one is closed by us before the other side may
     reply_s: float  # a vote's answer
-    drain_s: float  # after a stop is asked for, the longest that RPCs under way are waited for
+    drip_s: float  # a message that comes in pieces is waited for so long
+    stop_s: float  # after a stop is asked for, all that is open or comes later is answered within this
     one_service: bool  # the list is asked of one service for all marshals, not of an agent beside this one
     watch_s: float  # a watch of the list waits so long for something newer
     late_s: float  # past its wait, the next watch is opened beside it, if sooner than it is given up
@@ -49,9 +54,12 @@
     silent_s: float = 2.0  # a connection that has asked nothing, or half a message, is closed after this
     rest_s: float = 2.0  # one idle for so long is closed while over half of the connections are taken
     stalled_s: float = 5.0  # a client that takes nothing of its answer for so long has gone
+    refusals: int = 8  # connections that were told that there is no room and have not closed yet
+    refusal_s: float = 0.1  # so long they have for it
+    accept_again_s: float = 0.02  # after an error for want of room, until accept is tried again
     # Stopping: connections go on coming for a moment after the signal.
     linger_s: float = 0.5
-    past_s: float = 0.1  # past drain_s, what came in the instant of the last call is waited for so long
+    past_s: float = 0.15  # past stop_s, until the process ends: what comes then is refused at once
     # Discovery and the platform.
     behind_s: float = 10.0  # lists older than what was told take no drain back for so long, then they do
     again_s: float = 0.1  # between tries of the feed after a failure
@@ -75,7 +83,7 @@
     longest = max([one.ms("hardLimitUs") for one in settings.objects("classes")], default=0.0) / 1000.0
     # A connection costs a descriptor and, at rest, some 4 KiB; a quarter of the memory is for these, a
     # sixteenth each for large messages of clients and of nodes. Descriptors kept back: the epoll,
-    # standard streams, the listener, discovery, the feed, votes under way, one just accepted.
+    # standard streams, the listener, discovery, the feed, votes under way, refused ones, one just accepted.
     memory = int(given.number("memory_mb", MOST_MB) * 1024 * KIB)
     room = min(sockets - 24, memory // 4 // (8 * KIB))
     if room < 16:
@@ -105,5 +113,6 @@
         dial_s=allowed.ms("dialTimeoutUs") / 1000.0,
         idle_s=0.8 * allowed.ms("keepaliveUs") / 1000.0,
         reply_s=settings.object("familyInfo").ms("answerWaitUs") / 1000.0,
-        drain_s=max(3.0, longest) + 0.5,
+        drip_s=max(3.0, longest) + 0.5,
+        stop_s=min(KILL_LIMIT_S, longest) + KILL_MARGIN_S - STOP_RESERVE_S,
     )
--- a/brookreach/net/link.py
+++ b/brookreach/net/link.py
@@ -13,9 +13,10 @@
 
 from brookreach import interface as ifc
 from brookreach.net import pgwire
+from brookreach.net.poller import IN, Expiring
 from brookreach.net.result import Result
 from brookreach.net.statement import Statement
-from brookreach.net.stream import IN, Expiring, Stream
+from brookreach.net.stream import Stream
 
 if TYPE_CHECKING:
     from brookreach.net.nodes import Nodes
--- /dev/null
+++ b/brookreach/net/listener.py
@@ -0,0 +1,67 @@
+"""The listening socket, and what an error of accept says about the connections that wait.
+
+It owns the socket. It must never decide who is let in.
+"""
+
+from __future__ import annotations
+
+import errno
+import socket
+from collections.abc import Callable
+
+from brookreach.net.poller import IN, Poller, Watched
+from brookreach.net.stream import address
+
+# The machine or the process has no room for one more; those that wait go on waiting.
+EXHAUSTED = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
+
+
+class NoRoomError(Exception):
+    """No descriptor or no memory for one more connection; the next ones wait in the kernel.
+
+    `is_ours` tells that this process has used up its own descriptors.
+    """
+
+    def __init__(self, error: OSError) -> None:
+        super().__init__(str(error))
+        self.is_ours = error.errno == errno.EMFILE
+
+
+class Listener(Watched):
+    """A listening socket; a restart takes the same address at once. Handler: `arrived`. OSError where it can't."""
+
+    def __init__(self, poller: Poller, text: str, backlog: int, arrived: Callable[[], object]) -> None:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            sock.bind(address(text))
+            sock.listen(backlog)
+        except BaseException:
+            sock.close()
+            raise
+        super().__init__(poller, sock)
+        self.arrived = arrived
+        self.listens(True)
+
+    def listens(self, on: bool) -> None:
+        """Whether connections that wait are told of."""
+        self.poller.watch(self, IN if on else 0)
+
+    def ready(self, mask: int) -> None:
+        self.arrived()
+
+    def accept(self, tries: int) -> socket.socket | None:
+        """The next connection, None where nobody waits. Raises NoRoomError.
+
+        Any other error is that of one connection, which has gone (accept(2)): the next one is looked at, so many
+        times at the most.
+        """
+        for _ in range(tries):
+            try:
+                return self.sock.accept()[0]
+            except BlockingIOError:
+                return None
+            except OSError as error:
+                if error.errno in EXHAUSTED:
+                    raise NoRoomError(error) from None
+        return None
--- a/brookreach/net/nodes.py
+++ b/brookreach/net/nodes.py
@@ -12,9 +12,9 @@
 from brookreach.net import pgwire
 from brookreach.net.limits import Limits
 from brookreach.net.link import Ending, Endpoint, HalfWritten, InFlight, Link, Listed, Owner, PickOutcome
+from brookreach.net.poller import Poller
 from brookreach.net.report import Report
 from brookreach.net.statement import Statement
-from brookreach.net.stream import Poller
 
 
 class Nodes:
--- /dev/null
+++ b/brookreach/net/refusals.py
@@ -0,0 +1,75 @@
+"""Connections that are told that there is no room for them, or that the process stops.
+
+It owns them from the answer until their client has closed them. It must never take an RPC.
+"""
+
+from __future__ import annotations
+
+import socket
+import time
+from collections import OrderedDict
+from collections.abc import Callable
+
+from brookreach.net import pgwire
+from brookreach.net.limits import Limits
+from brookreach.net.poller import IN, Poller
+from brookreach.net.stream import Stream
+
+
+class Refused(Stream):
+    """A connection that was answered before it asked anything: whatever comes on it, nothing of it ran."""
+
+    def __init__(self, home: Refusals, sock: socket.socket, answer: bytes) -> None:
+        super().__init__(home.poller, sock, pgwire.Inbound(home.limits.message, home.pool))
+        self.home = home
+        self.send([answer])
+        self.end_sending()
+
+    def came(self) -> None:
+        self.inbound.head = self.inbound.tail  # answered already; unread it would end in a reset over the answer
+
+    def broke(self, why: str) -> None:
+        self.end()
+
+    def end(self) -> None:
+        self.close()
+        self.home.left(self)
+
+
+class Refusals:
+    """Those that have not closed yet, the oldest first. `on_room` is called when one has gone."""
+
+    def __init__(self, limits: Limits, poller: Poller, pool: pgwire.Pool, on_room: Callable[[], object]) -> None:
+        self.limits, self.poller, self.pool, self.on_room = limits, poller, pool, on_room
+        self.open: OrderedDict[Refused, float] = OrderedDict()
+
+    def is_full(self) -> bool:
+        """Whether one more would cut the oldest short."""
+        return len(self.open) >= self.limits.refusals
+
+    def refuse(self, sock: socket.socket, state: bytes, text: str) -> None:
+        """A close is no answer: say that trying again is harmless, then end our side."""
+        while self.open and self.is_full():
+            self._close_oldest()
+        try:
+            refused = Refused(self, sock, pgwire.error(state, text, ready=False))
+        except OSError:  # it has gone
+            sock.close()
+            return
+        self.open[refused] = time.monotonic()
+
+    def left(self, refused: Refused) -> None:
+        self.open.pop(refused, None)
+        self.on_room()
+
+    def _close_oldest(self) -> None:
+        refused = next(iter(self.open))
+        if not refused.quiet():
+            refused.ready(IN)
+        refused.end()
+
+    def sweep(self) -> None:
+        """Close those that had their time to close by themselves."""
+        before = time.monotonic() - self.limits.refusal_s
+        while self.open and next(iter(self.open.values())) < before:
+            self._close_oldest()
--- a/brookreach/net/report.py
+++ b/brookreach/net/report.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import sys
 import time
 from collections.abc import Callable
@@ -35,4 +36,5 @@
         self.write(kind, " ".join(text.split()))
 
     def plain(self, kind: str, text: str) -> None:
-        print(f"{self.name} {kind}: {text}", file=sys.stderr, flush=True)
+        with contextlib.suppress(OSError):  # who reads the log may have gone, or its disk be full
+            print(f"{self.name} {kind}: {text}", file=sys.stderr, flush=True)
--- a/brookreach/net/stream.py
+++ b/brookreach/net/stream.py
@@ -1,4 +1,4 @@
-"""Non-blocking sockets: one epoll for all, bytes received into a buffer, gathered writes.
+"""Non-blocking connections: bytes received into a buffer, gathered writes.
 
 It owns file descriptors and how many bytes the kernel took. It must never know a protocol, nor try again.
 
@@ -9,18 +9,14 @@
 from __future__ import annotations
 
 import contextlib
-import select
+import errno
 import socket
-import time
-import traceback
-from collections.abc import Callable
-
-import anyio
 
 from brookreach.net.pgwire import BrokenStream, Inbound
+from brookreach.net.poller import ENDED, IN, OUT, RDHUP, Poller, Watched
 
-IN, OUT = select.EPOLLIN, select.EPOLLOUT
-ENDED = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR  # the other side sends no more
+# Errors of a call, not of the connection: it is tried again when the socket is ready.
+FOR_A_MOMENT = frozenset({errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR, errno.ENOBUFS, errno.ENOMEM})
 SLICES = 64  # buffers given to the kernel in one call
 
 
@@ -31,109 +27,13 @@
     return host, int(port)
 
 
-class Expiring:
-    """What has a time-out; called for also when it has long been settled."""
-
-    def expire(self) -> None:
-        raise NotImplementedError
-
-
-class Watched(Expiring):
-    """What has a socket in the epoll."""
-
-    def __init__(self, poller: Poller, sock: socket.socket) -> None:
-        sock.setblocking(False)
-        self.poller, self.sock, self.fd = poller, sock, sock.fileno()
-        self.closed = False
-
-    def ready(self, mask: int) -> None:
-        raise NotImplementedError
-
-    def failed(self) -> None:
-        """A handler raised what it should not."""
-
-    def close(self) -> None:
-        if not self.closed:
-            self.closed = True
-            self.poller.forget(self.fd)
-            self.sock.close()
-
-
-class Poller:
-    """The epoll. What a turn finds has come since `since`."""
-
-    def __init__(self, most: int, fault: Callable[[str], None]) -> None:
-        self.epoll, self.most, self.fault = select.epoll(), most, fault
-        self.watched: dict[int, Watched] = {}
-        self.since = self.polled = time.monotonic()
-
-    def watch(self, one: Watched, mask: int) -> None:
-        if one.fd in self.watched:
-            self.epoll.modify(one.fd, mask)
-        else:
-            self.epoll.register(one.fd, mask)
-            self.watched[one.fd] = one
-
-    def forget(self, fd: int) -> None:
-        if self.watched.pop(fd, None) is not None:
-            self.epoll.unregister(fd)
-
-    def close(self) -> None:
-        for one in list(self.watched.values()):
-            one.close()
-        self.epoll.close()
-
-    async def wait(self) -> None:
-        await anyio.wait_readable(self.epoll.fileno())
-
-    def turn(self) -> int:
-        """Handle what is ready now; how many sockets that were."""
-        self.since, self.polled = self.polled, time.monotonic()
-        found = self.epoll.poll(0, self.most)
-        # A handler may close others of this turn; a number used again meets at worst a call for nothing.
-        for fd, mask in found:
-            one = self.watched.get(fd)
-            if one is not None:
-                try:
-                    one.ready(mask)
-                except Exception:  # a defect that one connection met stays with it
-                    self.fault(traceback.format_exc(limit=-2))
-                    one.failed()
-        return len(found)
-
-
-class Listener(Watched):
-    """A listening socket; a restart takes the same address at once. Handler: `arrived`."""
-
-    def __init__(self, poller: Poller, text: str, backlog: int, arrived: Callable[[], object]) -> None:
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        try:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            sock.bind(address(text))
-            sock.listen(backlog)
-        except BaseException:
-            sock.close()
-            raise
-        super().__init__(poller, sock)
-        self.arrived = arrived
-        poller.watch(self, IN)
-
-    def ready(self, mask: int) -> None:
-        self.arrived()
-
-    def accept(self) -> socket.socket | None:
-        try:
-            return self.sock.accept()[0]
-        except (BlockingIOError, ConnectionAbortedError):
-            return None
-
-
 class Stream(Watched):
     """One connected socket, or one that is coming up. Handlers: `open_frame`, `came`, `broke`."""
 
     def __init__(self, poller: Poller, sock: socket.socket, inbound: Inbound, dialing: bool = False) -> None:
         super().__init__(poller, sock)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        with contextlib.suppress(OSError):  # it is only quicker with it
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.inbound = inbound
         self.rest: list[bytes | memoryview] = []  # what the kernel has not taken yet
         self.dialing, self.reading = dialing, True
@@ -143,7 +43,7 @@
         """What the epoll is to wake this for."""
         out = OUT if self.rest or self.dialing else 0
         # Where nothing is read, bytes would hide the end behind them: the kernel tells it by itself.
-        into = 0 if self.dialing else IN if self.reading else select.EPOLLRDHUP
+        into = 0 if self.dialing else IN if self.reading else RDHUP
         self.poller.watch(self, out | into)
 
     def close(self) -> None:
@@ -151,6 +51,13 @@
             super().close()
             self.inbound.release()
 
+    def detach(self) -> socket.socket:
+        """Give its socket away as it stands, still open."""
+        self.closed = True
+        self.poller.forget(self.fd)
+        self.inbound.release()
+        return self.sock
+
     def opened(self) -> None:
         """The connection has come up."""
 
@@ -191,10 +98,9 @@
                 else:
                     self.inbound.came(count)
                     self.came()
-        except BlockingIOError:
-            return
         except OSError as error:
-            self.broke(str(error))
+            if error.errno not in FOR_A_MOMENT:
+                self.broke(str(error))
         except BrokenStream as error:
             self.broke(f"not the protocol: {error}")
 
@@ -222,8 +128,9 @@
             while self.rest:
                 taken = self.sock.sendmsg(self.rest[:SLICES])
                 self.rest = rest_of(self.rest, taken)
-        except BlockingIOError:
-            return
+        except OSError as error:
+            if error.errno not in FOR_A_MOMENT:
+                raise
 
     def quiet(self) -> bool:
         """Whether an idle connection still stands, with nothing unread on it."""
--- a/brookreach/simulation/balancer/nodes.py
+++ b/brookreach/simulation/balancer/nodes.py
@@ -17,7 +17,7 @@
 from brookreach.simulation.balancer.scenario import NodeKind
 from brookreach.simulation.stand_ins import GONE
 
-STATEMENT = re.compile(rb"id=([0-9A-Za-z]+),c=\w+,d=(\d+)")
+STATEMENT = re.compile(rb"id=([0-9A-Za-z.]+),c=\w+,d=(\d+)")
 PROMPT_S = (0.001, 0.02)
 SLOW_S = (0.05, 0.9)
 LATE_WELCOME_S = (0.02, 0.4)
--- a/tests/test_net_clients.py
+++ b/tests/test_net_clients.py
@@ -151,8 +151,10 @@
             await town.ask(late, "row")
             town.trace.append(f"idle: {await town.answer(idle)}")
             town.trace.append(f"under way: {await town.answer(busy)}, then {await town.answer(busy)}")
+            town.trace.append(f"a new one: {await town.answer(await town.client())}")
             for client in (idle, busy, late):
                 await client[0].aclose()
+            await until(lambda: town.parts.clients.listener is None)
             with self.assertRaises(OSError):
                 await town.client()
 
