--- a/brookreach/__main__.py
+++ b/brookreach/__main__.py
@@ -57,6 +57,7 @@
             self.driver = Driver(start, self.limits, self.report, Clock(), self.poller, self.drain)
             self.told, self.stops, self.serving = told, False, anyio.Event()
             self.beside: list[Beside] = []  # what `run` switches on
+            self.before_end: Callable[[], object] = list  # called as the signals' receiver is about to be closed
             chance = random.Random(start.seed)
             self.discovery = Discovery(
                 self.limits, self.report, settings.texts("zones"), settings.texts("skus"), chance, self.driver.told
@@ -136,7 +137,7 @@
                     await self.discovery.heard.wait()
                 if self.drain.has_begun:
                     self.report.say("marshal", "stops before it serves")
-                    tasks.cancel_scope.cancel()
+                    self._end(tasks.cancel_scope)
                     return
                 if not await self.listen():
                     tasks.cancel_scope.cancel()
@@ -191,6 +192,10 @@
         self.clients.close()
         for one in self.beside:
             await one.ends()
+        self._end(all_tasks)
+
+    def _end(self, all_tasks: anyio.CancelScope) -> None:
+        self.before_end()
         all_tasks.cancel()
 
     async def sweep(self) -> None:
@@ -206,6 +211,11 @@
 EARLY: list[int] = []  # SIGHUPs that came before the parts were there
 
 
+def block_signals() -> None:
+    """Once nothing is owed any more, a further signal must not change how the process ends."""
+    signal.pthread_sigmask(signal.SIG_BLOCK, {*STOPS, signal.SIGHUP})
+
+
 def serve(
     lines: Writers | None = None, record: Path | None = None, beside: Callable[[Parts], Beside] | None = None
 ) -> int:
@@ -221,6 +231,7 @@
             keeper = keep(parts, record)
         if beside is not None:
             parts.beside.append(beside(parts))
+        parts.before_end = block_signals
         gc.freeze()  # what stands now stays: collections need not look at it
         gc.set_threshold(parts.limits.garbage)
         anyio.run(parts.run)
--- /dev/null
+++ b/brookreach/simulation/balancer/connection.py
@@ -0,0 +1,124 @@
+"""One connection of a client: what was written on it, and what came back for it."""
+
+from __future__ import annotations
+
+import select
+import time
+from collections import deque
+from collections.abc import Callable
+
+import anyio
+import anyio.abc
+
+from brookreach.net import pgwire
+from brookreach.simulation.balancer.messages import MessageStream
+from brookreach.simulation.balancer.record import Outcome, Record, Request
+from brookreach.simulation.stand_ins import GONE
+
+REFUSALS = (pgwire.PUSHED_BACK, pgwire.NOT_READY)
+END_POLL_S = 0.005
+
+
+class Connection:
+    """One connection of a client, with the requests on it that have no answer, the oldest first."""
+
+    def __init__(self, stream: anyio.abc.SocketStream, record: Record):
+        self.stream = stream
+        self.requests: deque[Request] = deque()
+        self.has_asked = False
+        self.has_ended = False
+        self._record = record
+        self._messages = MessageStream(stream)
+        self._value = b""
+        self._is_welcomed = False
+        self.ended_at = float("inf")  # when the balancer was seen to end it, where that is watched
+        self._changed = anyio.Event()
+
+    async def wait_until(self, condition: Callable[[], bool]) -> None:
+        """Wait until a condition on this connection holds."""
+        while not condition():
+            await self._changed.wait()
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    async def send(self, data: bytes, requests: list[Request]) -> None:
+        """Write bytes that end with the last byte of each of `requests`."""
+        is_first, behind = not self.has_asked, len(self.requests)
+        for request in requests:
+            request.is_first, request.behind, request.batch = is_first, behind, requests[0].name
+            self.has_asked = True
+            self.requests.append(request)
+        if requests and not is_first and self.peer_has_ended():  # a client looks before it uses one again
+            self._note_unwritten(requests)
+            return
+        try:
+            await self.stream.send(data)
+        except GONE:  # an answer may lie there all the same; a new connection owes one in any case
+            if not is_first:
+                self._note_unwritten(requests)
+                return
+        for request in requests:
+            request.written_at = time.monotonic()
+
+    def _note_unwritten(self, requests: list[Request]) -> None:
+        for request in requests:
+            request.unbound_reason = "not written whole"
+
+    def peer_has_ended(self) -> bool:
+        """Whether the balancer has ended its side of the connection, also behind answers that are not read yet."""
+        raw = self.stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        if raw.fileno() < 0:
+            return True
+        poll = select.poll()
+        poll.register(raw.fileno(), select.POLLRDHUP)
+        return bool(poll.poll(0))
+
+    async def watch_end(self) -> None:
+        """Note when the balancer ends its side, for a client that reads late."""
+        while not self.peer_has_ended():
+            await anyio.sleep(END_POLL_S)
+        self.ended_at = time.monotonic()
+
+    async def read(self) -> None:
+        """Read answers until the connection ends."""
+        try:
+            while True:
+                tag, body = await self._messages.receive()
+                self._on_message(tag, body)
+        except (*GONE, OSError):
+            self.end()
+
+    def _on_message(self, tag: bytes, body: bytes) -> None:
+        if tag == b"Z":
+            self._is_welcomed = True
+        elif tag == b"D":
+            self._value = body[6:]
+        elif tag == b"C":
+            self._end_first(Outcome.SERVED, tag)
+        elif tag == b"E":
+            refused = pgwire.error_state(memoryview(body)) in REFUSALS
+            outcome = Outcome.REFUSED if refused else Outcome.FAILED
+            if self._is_welcomed:
+                self._end_first(outcome, tag)
+            else:  # the connection as a whole is refused, and with it what was written behind the startup
+                while self.requests:
+                    self._end_first(outcome, tag)
+
+    def _end_first(self, outcome: Outcome, tag: bytes) -> None:
+        if not self.requests:
+            if tag == b"C":
+                self._record.surplus_messages.append("an answer that no request waits for")
+            return
+        self.requests.popleft().end(outcome, self._value if outcome == Outcome.SERVED else b"")
+        self._notify()
+
+    def end(self, outcome: Outcome = Outcome.CLOSED) -> None:
+        """Note that the connection has ended: nothing that is open on it gets an answer."""
+        self.has_ended = True
+        while self.requests:
+            request = self.requests.popleft()
+            request.end(outcome)
+            request.ended_at = min(request.ended_at, self.ended_at)
+        self._notify()
--- a/brookreach/simulation/balancer/program.py
+++ b/brookreach/simulation/balancer/program.py
@@ -33,6 +33,7 @@
     Attributes:
         seed: Of its own chance.
         failing_calls: The chance with which a system call fails, 0 to 1.
+        failing_call: A kind of call, and which one of that kind fails, from 1.
         failing_accepts: How many first calls of accept fail.
         clock_steps: When the wall clock is stepped, in s after the start, and by how many s.
         defect: The name of a planted defect; empty for none.
@@ -41,6 +42,7 @@
     seed: int = 0
     failing_calls: float = 0.0
     failing_accepts: int = 0
+    failing_call: tuple[str, int] | None = None
     clock_steps: list[tuple[float, float]] = field(default_factory=list)
     defect: str = ""
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -15,6 +15,7 @@
         "tests/disruption/test_operator_commands.py",
         "tests/disruption/test_processes.py",
         "tests/simulation/test_application_drills.py",
+        "tests/simulation/test_balancer_soak.py",
     }
 )
 # The longest files, longest first: begun last, one of them would keep a single worker busy at the end.
