A refusal that the kernel takes later is written before our side is ended

Cause: our side was ended behind the first try of the write. Change: it is ended once the kernel has taken the answer.

--- a/brookreach/net/refusals.py
+++ b/brookreach/net/refusals.py
@@ -23,7 +23,11 @@
         super().__init__(home.poller, sock, pgwire.Inbound(home.limits.message, home.pool))
         self.home = home
         self.send([answer])
-        self.end_sending()
+        self.pushed()
+
+    def pushed(self) -> None:
+        if not self.rest:  # else the kernel took none of the answer, and is asked again
+            self.end_sending()
 
     def came(self) -> None:
         self.inbound.head = self.inbound.tail  # answered already; unread it would end in a reset over the answer
--- /dev/null
+++ b/tests/test_refusals.py
@@ -0,0 +1,128 @@
+"""Connections without room: each is told so, whatever the kernel does with the answer."""
+
+import errno
+import unittest
+from unittest import mock
+
+from brookreach.net import pgwire, stream
+
+from .peers_clients import HELLO, PortCase, query
+
+FULL = pgwire.error(b"53300", "too many connections", ready=False)
+
+
+class RefusalTest(PortCase):
+    def full_port(self, **limits):
+        """A house of one, whose only client waits for its answer."""
+        port = self.port(clients=1, **limits)
+        peer = port.ready_peer()
+        peer.send(query(1))
+        port.until(lambda: port.desk.taken)
+        return port
+
+    def test_more_than_are_told_at_a_time(self):
+        port = self.full_port(refusals=2)
+        peers = [port.peer(HELLO + query(number)) for number in range(2, 42)]
+        for peer in peers:
+            self.assertEqual(peer.ends(), ("FIN", FULL))
+            peer.sock.close()
+        port.until(lambda: not port.home.refusals.open)
+        self.assertEqual(port.desk.taken, [1])
+
+    def test_one_that_stays_is_closed_and_the_next_is_told(self):
+        port = self.full_port(refusals=1, refusal_s=0.02)
+        first, second = port.peer(), port.peer()
+        self.assertEqual([first.ends(), second.ends()], [("FIN", FULL), ("FIN", FULL)])
+        port.until(lambda: second.client is None and not port.home.refusals.open or port.home.sweep())
+
+    def test_an_answer_that_the_kernel_takes_later(self):
+        """The first call of sendmsg fails for want of buffers: our side must not be ended before the answer."""
+        port = self.full_port()
+        push, failures = stream.Stream._push, []
+
+        def fails_once(one):
+            if not failures:
+                failures.append(OSError(errno.ENOBUFS, "no buffers"))
+                return
+            push(one)
+
+        with mock.patch.object(stream.Stream, "_push", fails_once):
+            self.assertEqual(port.peer(HELLO + query(2)).ends(), ("FIN", FULL))
+        self.assertEqual(len(failures), 1)
+
+    def test_a_silent_one_that_makes_way_is_told(self):
+        port = self.port(clients=1)
+        silent = port.ready_peer()
+        port.ready_peer()
+        silent.send(query(1))  # it was on its way
+        self.assertEqual(silent.ends(), ("FIN", FULL))
+
+    def test_a_house_that_stays_full_lets_in_who_comes_once_there_is_room(self):
+        port = self.full_port()
+        self.assertEqual(port.peer().ends(), ("FIN", FULL))
+        port.desk.answer(1)
+        peer = port.ready_peer()
+        peer.send(query(2))
+        port.until(lambda: port.desk.taken == [1, 2])
+
+
+class AcceptTest(PortCase):
+    """Errors of accept, while no connection is open."""
+
+    def served_after(self, *errors):
+        port = self.port()
+        accept, left = port.home.listener.sock.accept, list(errors)
+
+        class Failing:
+            """The listening socket, whose first calls of accept fail."""
+
+            def accept(self):
+                if left:
+                    raise OSError(left.pop(0), "it fails")
+                return accept()
+
+        with mock.patch.object(port.home.listener, "sock", Failing()):
+            peer = port.ready_peer()
+            peer.send(query(1))
+            port.until(lambda: port.desk.taken)
+        self.assertEqual(left, [])
+        return port
+
+    def test_no_room_at_the_machine(self):
+        for number in (errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.ENOMEM):
+            with self.subTest(errno.errorcode[number]):
+                self.served_after(*[number] * 5)
+
+    def test_errors_of_a_connection_that_has_gone(self):
+        numbers = (errno.ECONNABORTED, errno.EPROTO, errno.ENETDOWN, errno.EHOSTUNREACH, errno.EPERM, errno.EINTR)
+        for number in numbers:
+            with self.subTest(errno.errorcode[number]):
+                port = self.served_after(*[number] * 5)
+                self.assertEqual(port.home.report.lines, [])
+
+    def test_at_the_last_call(self):
+        """Those that wait behind an error are let in, or told that we stop: none is reset."""
+        port = self.port()
+        accept, left = port.home.listener.sock.accept, [errno.ECONNABORTED, errno.ENFILE]
+        peers = [port.peer(HELLO + query(number)) for number in range(1, 11)]
+        for peer in peers:
+            peer.acknowledged()
+
+        class Failing:
+            """The listening socket."""
+
+            def accept(self):
+                if left:
+                    raise OSError(left.pop(0), "it fails")
+                return accept()
+
+        with mock.patch.object(port.home.listener, "sock", Failing()):
+            port.home.last_call()
+            port.until(lambda: not left)
+            for peer in peers:
+                self.assertEqual(peer.ends(), ("FIN", pgwire.error(b"57P03", "shutting down", ready=False)))
+                peer.sock.close()
+
+
+if __name__ == "__main__":
+    unittest.main()
