A connection that is being told that there is no room is not cut short by the next

Cause: making way evicted the oldest refused connection before its answer was written. Change: silent connections make way only while one more can be told; what is evicted at the end has its answer pushed first. Test in tests/test_refusals.py.

--- a/brookreach/net/clients.py
+++ b/brookreach/net/clients.py
@@ -101,6 +101,8 @@
         unread is passed over; one that has half an RPC comes last."""
         rows = [self.silent, self.idle] if len(self.silent) > len(self.idle) else [self.idle, self.silent]
         for row in [*rows, self.half]:
+            if row is self.silent and self.refusals.is_full():
+                continue  # those that are being told so must not be cut short
             for client in list(islice(row, self.limits.messages)):
                 asks = client.slots or client.rest or row is self.idle and len(client.inbound)
                 if not asks and client.quiet():
--- a/brookreach/net/refusals.py
+++ b/brookreach/net/refusals.py
@@ -12,7 +12,7 @@
 
 from brookreach.net import pgwire
 from brookreach.net.limits import Limits
-from brookreach.net.poller import IN, Poller
+from brookreach.net.poller import IN, OUT, Poller
 from brookreach.net.stream import Stream
 
 
@@ -68,8 +68,8 @@
 
     def _close_oldest(self) -> None:
         refused = next(iter(self.open))
-        if not refused.quiet():
-            refused.ready(IN)
+        for mask in (OUT, IN):  # the rest of its answer, and what would end it in a reset
+            refused.ready(mask)
         refused.end()
 
     def sweep(self) -> None:
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -57,6 +57,19 @@
         silent.send(query(1))  # it was on its way
         self.assertEqual(silent.ends(), ("FIN", FULL))
 
+    def test_one_that_is_being_told_is_not_cut_short(self):
+        port = self.port(clients=2, refusals=1, refusal_s=60.0)
+        first, second = port.ready_peer(), port.ready_peer()
+        port.ready_peer()
+        self.assertEqual(first.ends(), ("FIN", FULL))
+        waits = port.peer(HELLO + query(1))
+        port.rest()
+        self.assertFalse(port.home._make_way())
+        self.assertIsNotNone(second.client)
+        first.sock.close()  # it has read its answer: the next one is looked at
+        waits.hears(pgwire.WELCOME)
+        self.assertEqual(second.ends(), ("FIN", FULL))
+
     def test_a_house_that_stays_full_lets_in_who_comes_once_there_is_room(self):
         port = self.full_port()
         self.assertEqual(port.peer().ends(), ("FIN", FULL))
