--- a/brookreach/__main__.py
+++ b/brookreach/__main__.py
@@ -16,7 +16,6 @@
 import gc
 import os
 import random
-import time
 import traceback
 from collections.abc import Callable, Mapping
 from pathlib import Path
@@ -37,6 +36,7 @@
 from brookreach.net.platform import PHASES, Platform, news_from
 from brookreach.net.poller import Poller
 from brookreach.net.report import Report, Writers
+from brookreach.net.shutdown import Shutdown
 from brookreach.net.stream import address
 from brookreach.settings_reader import SettingsError, SettingsObject
 
@@ -179,17 +179,7 @@
         return False
 
     async def stop(self, all_tasks: anyio.CancelScope) -> None:
-        self.drain.begin()
-        self.driver.shorten_all()
-        within_s = self.drain.deadline - time.monotonic()
-        self.report.say("marshal", f"stops, {len(self.driver.open)} RPCs under way, answered within {within_s:.2f} s")
-        await self.clients.stop()
-        closes = ", ".join(f"{count} {why}" for why, count in self.clients.closes.most_common(CLOSES_SHOWN))
-        self.report.say(
-            "marshal", f"ends, {len(self.driver.open)} RPCs unanswered; connections closed: {closes or 'none'}"
-        )
-        self.driver.abort_all()
-        self.clients.close()
+        await Shutdown(self.drain, self.driver, self.clients, self.report).run()
         for one in self.beside:
             await one.ends()
         self._end(all_tasks)
@@ -201,13 +191,15 @@
     async def sweep(self) -> None:
         while True:
             await anyio.sleep(self.limits.sweep_s)
-            self.driver.nodes.sweep()
-            self.clients.sweep()
+            for sweep in (self.driver.nodes.sweep, self.clients.sweep):
+                try:
+                    sweep()
+                except Exception:  # a defect must not end the RPCs under way
+                    self.fault(traceback.format_exc(limit=-2))
 
 
 STOPS = (signal.SIGTERM, signal.SIGINT)
 LISTEN_TRIES, LISTEN_AGAIN_S = 50, 0.1  # a machine may have no descriptor or memory for a moment
-CLOSES_SHOWN = 8  # reasons for closing connections, the most frequent first
 EARLY: list[int] = []  # SIGHUPs that came before the parts were there
 
 
--- a/brookreach/net/answers.py
+++ b/brookreach/net/answers.py
@@ -10,8 +10,17 @@
 from collections import deque
 from typing import Protocol
 
+from brookreach.net import pgwire
 from brookreach.net.limits import Limits
 
+ABORTED = pgwire.error(b"XX000", "aborted")  # promises nothing
+
+
+def pushed_back(come_back_ms: float) -> bytes:
+    """The refusal that nothing of an RPC ran, with the time to come again after, if there is one."""
+    detail = str(round(come_back_ms)) if come_back_ms > 0.0 else ""
+    return pgwire.error(pgwire.PUSHED_BACK, "pushed back", detail)
+
 
 class Flushing(Protocol):
     """What writes answers: a client's connection."""
--- a/brookreach/net/clients.py
+++ b/brookreach/net/clients.py
@@ -163,21 +163,6 @@
                 client.ready(0)
         return bool(self.resumable)
 
-    async def stop(self) -> None:
-        """Take what still comes for a moment, finish what is under way, end the rest between RPCs."""
-        await anyio.sleep(self.drain.last_call - time.monotonic())
-        self.last_call()
-        await self._all_left(self.drain.deadline)
-        self.final_call()
-        await self._all_left(self.drain.end)
-
-    async def _all_left(self, at: float) -> None:
-        """Until every connection has ended, at the longest until `at`, by the monotonic clock."""
-        with anyio.move_on_after(at - time.monotonic()):
-            while self.open:
-                self.one_left = anyio.Event()
-                await self.one_left.wait()
-
     def last_call(self) -> None:
         """New connections are refused from here on; what has come up to now is served, also where it lies unread."""
         for _ in range(self.limits.backlog):
--- a/brookreach/net/driver.py
+++ b/brookreach/net/driver.py
@@ -8,7 +8,7 @@
 
 import time
 import traceback
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 
 import anyio
@@ -17,7 +17,7 @@
 from brookreach import interface as ifc
 from brookreach.decide import Marshal
 from brookreach.net import pgwire
-from brookreach.net.answers import Slot
+from brookreach.net.answers import ABORTED, Slot, pushed_back
 from brookreach.net.clock import Clock as Clock
 from brookreach.net.drain import Drain
 from brookreach.net.limits import Limits
@@ -39,6 +39,7 @@
         self.queue: deque[ifc.Event | PickOutcome] = deque()
         self.drain, self.timers, self.taken = drain, Timers(), 0
         self.open = OpenRpcs()
+        self.answers: Counter[str] = Counter()  # final ones, by kind
         self.news: ifc.RolloutNews | None = None
         self.poller = poller
         self.waiting: anyio.CancelScope | None = None  # while the task has nothing to do
@@ -95,14 +96,13 @@
     def abort_all(self) -> None:
         """Answer what is still open so that it promises nothing. The last resort: decisions answer in time."""
         for rpc in self.open.numbers():
-            self._answer(rpc, pgwire.error(b"XX000", "aborted"))
+            self._answer(rpc, ABORTED, "failed")
 
     def gone(self, rpc: int, why: str) -> None:
         """Its connection has ended, for this reason: nobody is left to answer."""
         held = self.open.leave(rpc)
         if held is not None:
-            name = held.statement.name.decode()
-            self.report.say("rpc", f"{name}: no answer after {held.picks} picks, its connection ended: {why}")
+            self.report.say("rpc", held.unanswered(why))
             for nth in range(held.picks):
                 self.nodes.unwanted(rpc, nth)
             self.put(ifc.RpcGone(rpc))
@@ -170,6 +170,7 @@
         rpc, ending = outcome.rpc, outcome.ending
         held = self.open.close(rpc) if ending == ifc.Ending.OK else None
         if held is not None:
+            self.answers["served"] += 1
             held.slot.answer([*outcome.answer, pgwire.READY])
         final = rpc not in self.open
         return ifc.PickEnded(rpc, outcome.nth, outcome.node, ending, final, outcome.took_ms, {})
@@ -187,9 +188,8 @@
         if isinstance(event, ifc.RpcGone):
             self.open.left_heard(event.rpc)
         if self.watch is not None:
-            self.watch(now, event)
-            for action in actions:
-                self.watch(now, action)
+            for one in (event, *actions):
+                self.watch(now, one)
         self._carry_out(actions)
 
     def _failed(self, trace: str) -> None:
@@ -204,9 +204,10 @@
         if self.news is not None:
             self._carry_out(self.marshal.handle(self.clock.now(), self.news))
 
-    def _answer(self, rpc: int, answer: bytes) -> None:
+    def _answer(self, rpc: int, answer: bytes, kind: str = "other") -> None:
         held = self.open.close(rpc)
         if held is not None:
+            self.answers[kind] += 1
             held.slot.answer([answer])
 
     def _carry_out(self, actions: list[ifc.Action]) -> None:
@@ -221,10 +222,9 @@
             case ifc.Pick():
                 self._pick(action)
             case ifc.PushBack():
-                detail = str(round(action.come_back_ms)) if action.come_back_ms > 0.0 else ""
-                self._answer(action.rpc, pgwire.error(pgwire.PUSHED_BACK, "pushed back", detail))
+                self._answer(action.rpc, pushed_back(action.come_back_ms), "refused")
             case ifc.Abort():
-                self._answer(action.rpc, pgwire.error(b"XX000", "aborted"))
+                self._answer(action.rpc, ABORTED, "failed")
             case ifc.CancelPick():
                 self.nodes.cancel(action.rpc, action.nth)
             case ifc.SetTimer():
--- a/brookreach/net/limits.py
+++ b/brookreach/net/limits.py
@@ -55,7 +55,7 @@
     rest_s: float = 2.0  # one idle for so long is closed while over half of the connections are taken
     stalled_s: float = 5.0  # a client that takes nothing of its answer for so long has gone
     refusals: int = 8  # connections that were told that there is no room and have not closed yet
-    refusal_s: float = 0.1  # so long they have for it
+    refusal_s: float = 0.25  # so long they have for it
     accept_again_s: float = 0.02  # after an error for want of room, until accept is tried again
     # Stopping: connections go on coming for a moment after the signal.
     linger_s: float = 0.5
--- a/brookreach/net/open_rpcs.py
+++ b/brookreach/net/open_rpcs.py
@@ -16,6 +16,10 @@
     def __init__(self, statement: Statement, slot: Slot) -> None:
         self.statement, self.slot, self.picks = statement, slot, 0
 
+    def unanswered(self, why: str) -> str:
+        """The line of the log for one that loses its connection."""
+        return f"{self.statement.name.decode()}: no answer after {self.picks} picks, its connection ended: {why}"
+
 
 class OpenRpcs:
     def __init__(self) -> None:
--- a/brookreach/net/poller.py
+++ b/brookreach/net/poller.py
@@ -16,6 +16,7 @@
 
 IN, OUT = select.EPOLLIN, select.EPOLLOUT
 RDHUP = select.EPOLLRDHUP
+WAIT_AGAIN_S = 0.005
 ENDED = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR  # the other side sends no more
 
 
@@ -91,7 +92,10 @@
         self.epoll.close()
 
     async def wait(self) -> None:
-        await anyio.wait_readable(self.epoll.fileno())
+        try:
+            await anyio.wait_readable(self.epoll.fileno())
+        except OSError:  # the loop's own epoll has no room for a moment
+            await anyio.sleep(WAIT_AGAIN_S)
 
     def turn(self) -> int:
         """Handle what is ready now; how many sockets that were."""
--- /dev/null
+++ b/brookreach/net/shutdown.py
@@ -0,0 +1,65 @@
+"""The steps of a stop, from its signal to the last answer.
+
+It owns their order. It must never decide when a request is due: the drain does.
+"""
+
+from __future__ import annotations
+
+import time
+import traceback
+from collections.abc import Callable
+
+import anyio
+
+from brookreach.net.clients import Clients
+from brookreach.net.drain import Drain
+from brookreach.net.driver import Driver
+from brookreach.net.report import Report
+
+CLOSES_SHOWN = 8  # reasons for closing connections, the most frequent first
+
+
+class Shutdown:
+    """One stop. A defect that one step meets is logged; the steps behind it are taken all the same."""
+
+    def __init__(self, drain: Drain, driver: Driver, clients: Clients, report: Report) -> None:
+        self.drain, self.driver, self.clients, self.report = drain, driver, clients, report
+
+    async def run(self) -> None:
+        """Returns once every connection has ended, at the latest at the drain's end; nothing is owed then."""
+        self.drain.begin()
+        self._step(self.driver.shorten_all)
+        within_s = self.drain.deadline - time.monotonic()
+        self._say(f"stops, {len(self.driver.open)} RPCs under way, answered within {within_s:.2f} s")
+        await anyio.sleep(self.drain.last_call - time.monotonic())
+        self._step(self.clients.last_call)
+        await self._all_left(self.drain.deadline)
+        self._step(self.clients.final_call)
+        await self._all_left(self.drain.end)
+        self._say_end()
+        self._step(self.driver.abort_all)
+        self._step(self.clients.close)
+
+    async def _all_left(self, at: float) -> None:
+        """Until every connection has ended, at the longest until `at`, by the monotonic clock."""
+        with anyio.move_on_after(at - time.monotonic()):
+            while self.clients.open:
+                self.clients.one_left = anyio.Event()
+                await self.clients.one_left.wait()
+
+    def _say_end(self) -> None:
+        closes = [f"{count} {why}" for why, count in self.clients.closes.most_common(CLOSES_SHOWN)]
+        answers = [f"{count} {kind}" for kind, count in self.driver.answers.items()]
+        self._say(
+            f"ends, {len(self.driver.open)} RPCs unanswered; answers: {', '.join(answers) or 'none'}; "
+            f"connections closed: {', '.join(closes) or 'none'}"
+        )
+
+    def _say(self, text: str) -> None:
+        self.report.say("marshal", text)
+
+    def _step(self, step: Callable[[], object]) -> None:
+        try:
+            step()
+        except Exception:
+            self.report.say("fault", traceback.format_exc(limit=-2))
--- a/brookreach/simulation/balancer/connection.py
+++ b/brookreach/simulation/balancer/connection.py
@@ -50,21 +50,24 @@
             request.is_first, request.behind, request.batch = is_first, behind, requests[0].name
             self.has_asked = True
             self.requests.append(request)
-        if requests and not is_first and self.peer_has_ended():  # a client looks before it uses one again
-            self._note_unwritten(requests)
+        if requests and self.peer_has_ended():  # a write would be answered by a reset over what lies unread
+            self._note_unwritten(requests, is_first)
             return
         try:
             await self.stream.send(data)
-        except GONE:  # an answer may lie there all the same; a new connection owes one in any case
-            if not is_first:
-                self._note_unwritten(requests)
-                return
+        except GONE:  # an answer may lie there all the same
+            self._note_unwritten(requests, is_first)
+            return
         for request in requests:
             request.written_at = time.monotonic()
 
-    def _note_unwritten(self, requests: list[Request]) -> None:
+    def _note_unwritten(self, requests: list[Request], is_first: bool) -> None:
+        """A new connection owes an answer also where it ends before the first write."""
         for request in requests:
-            request.unbound_reason = "not written whole"
+            if is_first:
+                request.written_at = time.monotonic()
+            else:
+                request.unbound_reason = "not written whole"
 
     def peer_has_ended(self) -> bool:
         """Whether the balancer has ended its side of the connection, also behind answers that are not read yet."""
--- /dev/null
+++ b/tests/test_drain.py
@@ -0,0 +1,155 @@
+"""The drain's deadline reaches all that is open or comes later, its attempts too; nothing is left at its end."""
+
+import time
+import unittest
+from dataclasses import replace
+from types import SimpleNamespace
+from unittest import mock
+
+import anyio
+
+from brookreach.net.drain import Drain
+from brookreach.net.limits import limits_from
+from brookreach.net.shutdown import Shutdown
+
+from .helpers import SETTINGS, Heard
+from .peers_clients import LIMITS
+from .peers_front import Front, book, look, said
+
+HOUR_MS = 3_600_000
+STOP_S = 0.6
+
+
+class DrainTest(unittest.TestCase):
+    def front(self, **more):
+        front = Front(**more)
+        self.addCleanup(front.close)
+        front.listed()
+        front.driver.drain.limits = replace(front.driver.drain.limits, stop_s=STOP_S)
+        return front, front.client()
+
+    def told_ms(self, front, number):
+        """The time that nodes were told with an RPC's attempts."""
+        texts = [text for peer in front.peers for one in peer.taken for text in one.queries()]
+        return [int(text.split(b",d=")[1].split(b" ")[0]) for text in texts if b"id=%d," % number in text]
+
+    def stop(self, front):
+        front.driver.drain.begin()
+        front.driver.shorten_all()
+        self.began = time.monotonic()
+
+    def test_what_is_open_is_answered_by_the_deadline(self):
+        front, client = self.front()
+        client.send(look(1, HOUR_MS, "hang") + book(2, HOUR_MS, "hang"))
+        front.until(lambda: front.queries() == [1, 2])
+        self.stop(front)
+        self.assertEqual(said(client, 2), ["53300", "XX000"])
+        self.assertLess(time.monotonic() - self.began, STOP_S + 0.2)
+        self.assertEqual((front.queries(), len(front.driver.open)), ([1, 2], 0))
+
+    def test_what_comes_later_is_answered_by_the_deadline_and_so_are_its_attempts(self):
+        front, client = self.front()
+        self.stop(front)
+        client.send(look(1, HOUR_MS, "hang") + book(2, HOUR_MS, "hang"))
+        self.assertEqual(said(client, 2), ["53300", "XX000"])
+        self.assertLess(time.monotonic() - self.began, STOP_S + 0.2)
+        told = self.told_ms(front, 1) + self.told_ms(front, 2)
+        self.assertGreaterEqual(len(told), 2)
+        self.assertLessEqual(max(told), STOP_S * 1000.0)
+
+    def test_a_second_copy_is_told_the_shorter_time(self):
+        front, client = self.front(copies=True)
+        client.send(look(1, HOUR_MS, "hang"))
+        front.until(lambda: front.queries() == [1])
+        front.driver.drain.limits = replace(front.driver.drain.limits, stop_s=2.0)  # copies go out before it
+        self.stop(front)
+        front.until(lambda: len(front.queries()) == 2)
+        first, copy = sorted(self.told_ms(front, 1), reverse=True)
+        self.assertGreater(first, 2000)
+        self.assertLessEqual(copy, 2000)
+        self.assertEqual(said(client, 1), ["53300"])
+
+    def test_an_rpc_with_less_time_keeps_its_own(self):
+        front, client = self.front()
+        self.stop(front)
+        client.send(look(1, 100, "hang"))
+        self.assertEqual(said(client, 1), ["53300"])
+        self.assertLess(time.monotonic() - self.began, STOP_S - 0.2)
+
+    def test_past_the_deadline_all_is_refused_at_once(self):
+        front, client = self.front()
+        front.driver.drain.limits = replace(front.driver.drain.limits, stop_s=0.0)
+        self.stop(front)
+        client.send(look(1, HOUR_MS) + book(2, HOUR_MS))
+        self.assertEqual(said(client, 2), ["53300", "53300"])
+        self.assertEqual(front.queries(), [])
+
+    def test_the_decisions_fail_while_it_stops(self):
+        front, client = self.front()
+        client.send(book(1, HOUR_MS, "hang"))
+        front.until(lambda: front.queries() == [1])
+        self.stop(front)
+        front.driver._failed("a defect")
+        front.report.lines.clear()
+        self.assertEqual(said(client, 1), ["XX000"])
+        client.send(look(2, HOUR_MS, "hang"))
+        self.assertEqual(said(client, 1), ["53300"])
+        self.assertLess(time.monotonic() - self.began, STOP_S + 0.2)
+
+    def test_what_is_still_open_at_the_end_is_aborted(self):
+        front, client = self.front()
+        client.send(look(1, HOUR_MS, "hang") + book(2, HOUR_MS, "hang"))
+        front.until(lambda: front.queries() == [1, 2])
+        front.driver.abort_all()
+        self.assertEqual(said(client, 2), ["XX000", "XX000"])
+        self.assertEqual((len(front.driver.open), front.driver.answers["failed"]), (0, 2))
+
+
+class LimitsTest(unittest.TestCase):
+    """The deadline leaves room before the earliest kill for a process that is held up twice."""
+
+    def test_by_the_longest_limit(self):
+        for longest_s, kill_s in ((0.6, 1.3), (1.0, 1.7), (3.0, 3.7), (3.098, 3.7), (5.5, 3.7)):
+            with self.subTest(longest_s=longest_s):
+                stop_s = limits_of(longest_s).stop_s
+                self.assertAlmostEqual(stop_s, kill_s - 0.4)
+                self.assertLessEqual(stop_s + LIMITS.past_s + 0.15, kill_s)
+
+
+def limits_of(longest_s):
+    """The limits of settings whose longest class has so much time."""
+    classes = [one | {"hardLimitUs": round(longest_s * 1e6)} for one in SETTINGS["classes"]]
+    return limits_from({"cores": 1.0, "memory_mb": 64, "sockets": 256}, SETTINGS | {"classes": classes})
+
+
+class ShutdownTest(unittest.TestCase):
+    """A defect that one step meets keeps no later step from being taken."""
+
+    STEPS = ("shorten_all", "abort_all", "last_call", "final_call", "close")
+
+    def run_with_failing(self, *names):
+        def step(name):
+            def taken():
+                self.taken.append(name)
+                if name in names:
+                    raise ValueError(name)
+
+            return taken
+
+        self.taken, report = [], Heard()
+        driver = SimpleNamespace(open=[], answers={}, shorten_all=step("shorten_all"), abort_all=step("abort_all"))
+        clients = mock.Mock(open=[], **{name: step(name) for name in self.STEPS[2:]})
+        clients.closes.most_common.return_value = []
+        drain = Drain(replace(LIMITS, stop_s=0.01, linger_s=0.01, past_s=0.01))
+        anyio.run(Shutdown(drain, driver, clients, report).run)
+        return [line for line in report.lines if line.startswith("fault")]
+
+    def test_each_step_and_all(self):
+        for names in ((), *((name,) for name in self.STEPS), self.STEPS):
+            with self.subTest(names=names):
+                self.assertEqual(len(self.run_with_failing(*names)), len(names))
+                self.assertEqual(self.taken, ["shorten_all", "last_call", "final_call", "abort_all", "close"])
+
+
+if __name__ == "__main__":
+    unittest.main()
