--- a/brookreach/simulation/balancer/checker.py
+++ b/brookreach/simulation/balancer/checker.py
@@ -11,7 +11,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterator
 
-from brookreach.simulation.balancer.nodes import value_for
+from brookreach.simulation.balancer.nodes import PADDING, value_for
 from brookreach.simulation.balancer.record import Attempt, AttemptEnd, Outcome, Record, Request
 from brookreach.simulation.balancer.scenario import BUILD_ON_TRIAL, TRIAL_CAP, Scenario
 
@@ -96,7 +96,7 @@
     for request in record.requests:
         if request.outcome == Outcome.SERVED:
             made = [value_for(one.name, one.node) for one in by_name[request.name] if one.end == AttemptEnd.SERVED]
-            if request.value not in made:
+            if request.value.rstrip(PADDING) not in made:
                 yield f"{request.name}: {request.value!r}, made were {made}"
 
 
--- a/brookreach/simulation/balancer/nodes.py
+++ b/brookreach/simulation/balancer/nodes.py
@@ -25,6 +25,7 @@
 SECOND_ANSWER_S = (0.001, 0.02)
 MISBEHAVIOUR_CHANCE = 0.3  # with which a node that refuses, fails or resets does so
 THROTTLED_BYTES = 8
+LARGE_BYTES, PADDING = 60_000, b"."
 REFUSAL = pgwire.error(pgwire.PUSHED_BACK, "queue full")
 ERROR = pgwire.error(b"XX000", "failed")
 NO_LINGER = b"\1\0\0\0\0\0\0\0"
@@ -42,7 +43,7 @@
 
 
 def value_for(name: str, node: int) -> bytes:
-    """Return the value with which a node serves a request: it tells both."""
+    """Return the value with which a node serves a request: it tells both. A large one has padding behind it."""
     return f"{name} by {node}".encode()
 
 
@@ -121,7 +122,10 @@
             await stream.send(ERROR)
             return True
         attempt.end = AttemptEnd.SERVED
-        await self._serve_row(stream, row_answer(value_for(attempt.name, self.number), is_insert))
+        value = value_for(attempt.name, self.number)
+        if self.kind == NodeKind.LARGE:
+            value = value.ljust(LARGE_BYTES, PADDING)
+        await self._serve_row(stream, row_answer(value, is_insert))
         return True
 
     async def _serve_row(self, stream: anyio.abc.SocketStream, answer: bytes) -> None:
