--- a/brookreach/net/clients.py
+++ b/brookreach/net/clients.py
@@ -22,7 +22,7 @@
 from brookreach.net.report import Report
 from brookreach.net.taker import Taker
 
-MADE_WAY = "makes way for a new connection"
+EVICTED = "evicted for a new connection"
 
 
 class Clients:
@@ -41,10 +41,10 @@
         self.closes: Counter[str] = Counter()  # connections that have ended, by reason
         self.pool = pgwire.Pool(limits.large)
         self.resumable: list[Client] = []  # to be looked at again for RPCs that have come already
-        self.refusals = Refusals(limits, poller, self.pool, self.listen_again)
+        self.refusals = Refusals(limits, poller, self.pool, self.resume_accepting)
         self.stopping = self.is_final = self.is_closing = False  # past the last call; past the deadline; at the end
-        self.is_deaf = False  # accept is tried again when its alarm rings, or a connection has ended
-        self.one_left = anyio.Event()
+        self.is_paused = False  # accept is tried again when its alarm rings, or a connection has ended
+        self.client_ended = anyio.Event()
         self.listener: Listener | None = Listener(poller, at, limits.backlog, self.arrived)
 
     def arrived(self) -> bool:
@@ -53,15 +53,15 @@
         """
         for _ in range(self.limits.sockets):
             if self._must_wait():
-                self._listen_again_later()
+                self._pause_accepting()
                 return False
             try:
                 sock = self.listener.accept(self.limits.sockets) if self.listener is not None else None
             except NoRoomError as error:
                 self.report.say("clients", f"{error}: new ones wait")
                 if error.is_ours:
-                    self._make_way()
-                self._listen_again_later()
+                    self._evict_one()
+                self._pause_accepting()
                 return False
             if sock is None:
                 return False
@@ -77,25 +77,25 @@
         """Where all connections hold RPCs, or we stop, a new one is told so: its client can go elsewhere."""
         if self.stopping:
             self.refusals.refuse(sock, pgwire.NOT_READY, "shutting down")
-        elif len(self.open) < self.limits.clients or self._make_way():
+        elif len(self.open) < self.limits.clients or self._evict_one():
             self.open.add(Client(sock, self))
         else:
             self.report.say("clients", f"{len(self.open)} connections with RPCs: new ones are refused")
             self.refusals.refuse(sock, pgwire.PUSHED_BACK, "too many connections")
 
-    def _listen_again_later(self) -> None:
+    def _pause_accepting(self) -> None:
         """Not only when a connection ends: there may be none that could."""
-        if self.listener is not None and not self.is_deaf:
-            self.is_deaf = True
+        if self.listener is not None and not self.is_paused:
+            self.is_paused = True
             self.listener.listens(False)
-            self.taker.alarm(self.limits.accept_again_s * 1000.0, ListenAgain(self))
+            self.taker.alarm(self.limits.accept_again_s * 1000.0, ResumeAccepting(self))
 
-    def listen_again(self) -> None:
-        if self.is_deaf and self.listener is not None:
-            self.is_deaf = False
+    def resume_accepting(self) -> None:
+        if self.is_paused and self.listener is not None:
+            self.is_paused = False
             self.listener.listens(True)
 
-    def _make_way(self) -> bool:
+    def _evict_one(self) -> bool:
         """Close the connection that has been silent for longest or the one that has been idle for longest:
         between RPCs we may. Where few are silent, their first query is on its way. One whose next RPC lies
         unread is passed over; one that has half an RPC comes last."""
@@ -108,9 +108,9 @@
                 if not asks and client.quiet():
                     if row is self.silent:  # its first query may be on its way: that is answered
                         self.refusals.refuse(client.detach(), pgwire.PUSHED_BACK, "too many connections")
-                        self.left(client, MADE_WAY)
+                        self.left(client, EVICTED)
                     else:
-                        client.end(MADE_WAY)
+                        client.end(EVICTED)
                     return True
         return False
 
@@ -123,8 +123,8 @@
         self.open.discard(client)
         for row in (self.silent, self.idle, self.half, self.stalled):
             row.pop(client, None)
-        self.one_left.set()
-        self.listen_again()
+        self.client_ended.set()
+        self.resume_accepting()
 
     def sweep(self) -> None:
         """Close what has been silent, half said or stalled for too long, and in a full house what rests."""
@@ -189,7 +189,7 @@
             self.listener = None
 
 
-class ListenAgain(Expiring):
+class ResumeAccepting(Expiring):
     """The alarm of a listener that had no room for one more connection."""
 
     def __init__(self, clients: Clients) -> None:
@@ -197,7 +197,7 @@
 
     def expire(self) -> None:
         self.clients.refusals.sweep()
-        self.clients.listen_again()
+        self.clients.resume_accepting()
 
 
 def older(row: OrderedDict[Client, float], than: float) -> list[Client]:
--- a/brookreach/net/shutdown.py
+++ b/brookreach/net/shutdown.py
@@ -33,19 +33,19 @@
         self._say(f"stops, {len(self.driver.open)} RPCs under way, answered within {within_s:.2f} s")
         await anyio.sleep(self.drain.last_call - time.monotonic())
         self._step(self.clients.last_call)
-        await self._all_left(self.drain.deadline)
+        await self._all_ended(self.drain.deadline)
         self._step(self.clients.final_call)
-        await self._all_left(self.drain.end)
+        await self._all_ended(self.drain.end)
         self._say_end()
         self._step(self.driver.abort_all)
         self._step(self.clients.close)
 
-    async def _all_left(self, at: float) -> None:
+    async def _all_ended(self, at: float) -> None:
         """Until every connection has ended, at the longest until `at`, by the monotonic clock."""
         with anyio.move_on_after(at - time.monotonic()):
             while self.clients.open:
-                self.clients.one_left = anyio.Event()
-                await self.clients.one_left.wait()
+                self.clients.client_ended = anyio.Event()
+                await self.clients.client_ended.wait()
 
     def _say_end(self) -> None:
         closes = [f"{count} {why}" for why, count in self.clients.closes.most_common(CLOSES_SHOWN)]
--- a/brookreach/simulation/balancer/clients.py
+++ b/brookreach/simulation/balancer/clients.py
@@ -77,7 +77,7 @@
                 await anyio.sleep(0.02)
 
     async def run_once(self) -> None:
-        """As one of a crowd: connect, write a request right behind the startup, wait for the end."""
+        """As one of a burst: connect, write a request right behind the startup, wait for the end."""
         await self._connect_and_use()
 
     async def _connect_and_use(self) -> bool:
--- a/brookreach/simulation/balancer/defects.py
+++ b/brookreach/simulation/balancer/defects.py
@@ -5,7 +5,7 @@
 DEFECTS = {
     "stop-by-longest-limit": "the drain deadline is taken from the longest time limit, whatever the kill counts",
     "stop-not-shortened": "requests that are open at the stop keep their own time, and nothing answers them at its end",
-    "deaf-after-accept": "after an error of accept the listener is never looked at again",
+    "accept-never-resumed": "after an error of accept the listener is never looked at again",
     "closes-what-was-read": "while it stops, a request with more time than is left is read and its connection closed",
     "full-house-closes": "a connection that finds no room is closed with no answer",
     "false-refusal": "an unsafe request is refused as harmless whatever ran",
--- a/brookreach/simulation/balancer/scenario.py
+++ b/brookreach/simulation/balancer/scenario.py
@@ -92,8 +92,8 @@
 
     Attributes:
         limits_s: The time limits of the safe and the unsafe class.
-        crowd: How many clients connect at once; 0 for no crowd.
-        crowd_after_s: When they do, after SIGTERM; before it where negative.
+        burst: How many clients connect at once; 0 for no burst.
+        burst_after_s: When they do, after SIGTERM; before it where negative.
         failing_calls: The chance with which a system call of the process fails in a documented way, 0 to 1.
         failing_call: A kind of system call, and which call of that kind fails, from 1.
         failing_accepts: How many calls of accept fail in a row while no connection is open.
@@ -106,8 +106,8 @@
     limits_s: tuple[float, float]
     nodes: tuple[NodeKind, ...]
     clients: tuple[ClientStyle, ...]
-    crowd: int = 0
-    crowd_after_s: float = 0.0
+    burst: int = 0
+    burst_after_s: float = 0.0
     signals: tuple[TimedSignal, ...] = ()
     pauses: tuple[Pause, ...] = ()
     clock_steps: tuple[ClockStep, ...] = ()
@@ -131,7 +131,7 @@
     def describe(self) -> str:
         """Return it in one line."""
         parts = [f"limits {self.limits_s}", f"{len(self.clients)} clients", "nodes: " + ", ".join(self.nodes)]
-        for name in ("crowd", "failing_calls", "failing_call", "failing_accepts", "silent_discovery", "busy_processes"):
+        for name in ("burst", "failing_calls", "failing_call", "failing_accepts", "silent_discovery", "busy_processes"):
             value = getattr(self, name)
             if value:
                 parts.append(f"{name.replace('_', ' ')} {value}")
@@ -144,15 +144,15 @@
     """Return the scenario of a seed, always the same."""
     rng = random.Random(f"balancer soak {seed}")
     limits_s = LIMITS_S[seed % len(LIMITS_S)]
-    has_crowd = seed % 3 == 0
+    has_burst = seed % 3 == 0
     kill_after_s = min(max(limits_s), CAPPED_LIMIT_S) + KILL_MARGIN_S
     return Scenario(
         seed=seed,
         limits_s=limits_s,
         nodes=_draw_nodes(rng, seed),
         clients=tuple(rng.choices(list(STYLE_WEIGHTS), list(STYLE_WEIGHTS.values()), k=rng.randint(20, 45))),
-        crowd=rng.choice((60, 150, 250)) if has_crowd else 0,
-        crowd_after_s=rng.uniform(-0.3, 0.3),
+        burst=rng.choice((60, 150, 250)) if has_burst else 0,
+        burst_after_s=rng.uniform(-0.3, 0.3),
         signals=_draw_signals(rng, kill_after_s),
         pauses=_draw_pauses(rng, kill_after_s) if seed % 2 else (),
         clock_steps=_draw_clock_steps(rng) if seed % 4 == 3 else (),
--- a/brookreach/simulation/balancer/shim/planted_defects.py
+++ b/brookreach/simulation/balancer/shim/planted_defects.py
@@ -10,7 +10,7 @@
 from brookreach.interface import Action, PushBack
 from brookreach.net import limits
 from brookreach.net.client import Client
-from brookreach.net.clients import ListenAgain
+from brookreach.net.clients import ResumeAccepting
 from brookreach.net.driver import Driver
 from brookreach.net.refusals import Refusals
 from brookreach.net.statement import BadStatement, statement
@@ -31,9 +31,9 @@
     Driver.abort_all = nothing  # type: ignore[method-assign, assignment]
 
 
-def deaf_after_accept() -> None:
+def accept_never_resumed() -> None:
     """After an error of accept the listener waits for a connection to end."""
-    ListenAgain.expire = nothing  # type: ignore[method-assign, assignment]
+    ResumeAccepting.expire = nothing  # type: ignore[method-assign, assignment]
 
 
 def closes_what_was_read() -> None:
@@ -89,7 +89,7 @@
 DEFECTS: dict[str, Callable[[], None]] = {
     "stop-by-longest-limit": stop_by_longest_limit,
     "stop-not-shortened": stop_not_shortened,
-    "deaf-after-accept": deaf_after_accept,
+    "accept-never-resumed": accept_never_resumed,
     "closes-what-was-read": closes_what_was_read,
     "full-house-closes": full_house_closes,
     "false-refusal": false_refusal,
--- a/brookreach/simulation/balancer/soak_run.py
+++ b/brookreach/simulation/balancer/soak_run.py
@@ -175,8 +175,8 @@
             for number, style in enumerate(self.scenario.clients):
                 tasks.start_soon(self._client(style, f"{number:x}a").run)
             tasks.start_soon(self._play_faults, process, stop_at)
-            if self.scenario.crowd:
-                tasks.start_soon(self._play_crowd, stop_at + self.scenario.crowd_after_s)
+            if self.scenario.burst:
+                tasks.start_soon(self._play_burst, stop_at + self.scenario.burst_after_s)
             await anyio.sleep_until(stop_at)
             self._stop_sent_at = time.monotonic()
             process.send_signal(signal.SIGTERM)
@@ -196,10 +196,10 @@
     def _may_connect(self) -> bool:
         return time.monotonic() < self._stop_sent_at + self._last_connect_s
 
-    async def _play_crowd(self, at: float) -> None:
+    async def _play_burst(self, at: float) -> None:
         await anyio.sleep_until(at)
         async with anyio.create_task_group() as tasks:
-            for number in range(self.scenario.crowd):
+            for number in range(self.scenario.burst):
                 tasks.start_soon(self._client(ClientStyle.SINGLE, f"{number:x}c").run_once)
 
     async def _play_faults(self, process: BalancerProcess, stop_at: float) -> None:
--- a/tests/simulation/test_balancer_soak.py
+++ b/tests/simulation/test_balancer_soak.py
@@ -33,9 +33,9 @@
 PLANTED = {
     "stop-by-longest-limit": (scenario((5.5, 3.0), HANGING), checker.END_RULE),
     "stop-not-shortened": (scenario((5.5, 3.0), HANGING), checker.ANSWERED_RULE),
-    "deaf-after-accept": (scenario((1.0, 0.8), SLOW, failing_accepts=3), checker.SERVICE_RULE),
+    "accept-never-resumed": (scenario((1.0, 0.8), SLOW, failing_accepts=3), checker.SERVICE_RULE),
     "closes-what-was-read": (scenario((3.0, 2.25), SLOW, PIPELINED * 16), checker.ANSWERED_RULE),
-    "full-house-closes": (scenario((1.0, 0.8), HANGING, crowd=250, crowd_after_s=0.1), checker.ANSWERED_RULE),
+    "full-house-closes": (scenario((1.0, 0.8), HANGING, burst=250, burst_after_s=0.1), checker.ANSWERED_RULE),
     "false-refusal": (scenario((1.0, 0.8), HANGING), checker.REFUSAL_RULE),
     "unsafe-retry": (scenario((1.0, 0.8), RESETTING), checker.ONCE_RULE),
     "goes-on-after-leave": (scenario((3.0, 2.25), (*RESETTING, *SLOW), LEAVING * 24), checker.LEFT_RULE),
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -1,5 +1,6 @@
 """Connections without room: each is told so, whatever the kernel does with the answer."""
 
+import contextlib
 import errno
 import unittest
 from unittest import mock
@@ -11,6 +12,20 @@
 FULL = pgwire.error(b"53300", "too many connections", ready=False)
 
 
+@contextlib.contextmanager
+def failing_accepts(port, *numbers):
+    """The first calls of accept fail with these errors; gives those that are still to come."""
+    accept, failures = port.home.listener.sock.accept, list(numbers)
+
+    def failing():
+        if failures:
+            raise OSError(failures.pop(0), "it fails")
+        return accept()
+
+    with mock.patch.object(port.home.listener, "sock", mock.Mock(accept=failing)):
+        yield failures
+
+
 class RefusalTest(PortCase):
     def full_port(self, **limits):
         """A house of one, whose only client waits for its answer."""
@@ -64,7 +79,7 @@
         self.assertEqual(first.ends(), ("FIN", FULL))
         waits = port.peer(HELLO + query(1))
         port.rest()
-        self.assertFalse(port.home._make_way())
+        self.assertFalse(port.home._evict_one())
         self.assertIsNotNone(second.client)
         first.sock.close()  # it has read its answer: the next one is looked at
         waits.hears(pgwire.WELCOME)
@@ -84,21 +99,11 @@
 
     def served_after(self, *errors):
         port = self.port()
-        accept, left = port.home.listener.sock.accept, list(errors)
-
-        class Failing:
-            """The listening socket, whose first calls of accept fail."""
-
-            def accept(self):
-                if left:
-                    raise OSError(left.pop(0), "it fails")
-                return accept()
-
-        with mock.patch.object(port.home.listener, "sock", Failing()):
+        with failing_accepts(port, *errors) as failures:
             peer = port.ready_peer()
             peer.send(query(1))
             port.until(lambda: port.desk.taken)
-        self.assertEqual(left, [])
+        self.assertEqual(failures, [])
         return port
 
     def test_no_room_at_the_machine(self):
@@ -116,22 +121,13 @@
     def test_at_the_last_call(self):
         """Those that wait behind an error are let in, or told that we stop: none is reset."""
         port = self.port()
-        accept, left = port.home.listener.sock.accept, [errno.ECONNABORTED, errno.ENFILE]
         peers = [port.peer(HELLO + query(number)) for number in range(1, 11)]
         for peer in peers:
             peer.acknowledged()
 
-        class Failing:
-            """The listening socket."""
-
-            def accept(self):
-                if left:
-                    raise OSError(left.pop(0), "it fails")
-                return accept()
-
-        with mock.patch.object(port.home.listener, "sock", Failing()):
+        with failing_accepts(port, errno.ECONNABORTED, errno.ENFILE) as failures:
             port.home.last_call()
-            port.until(lambda: not left)
+            port.until(lambda: not failures)
             for peer in peers:
                 self.assertEqual(peer.ends(), ("FIN", pgwire.error(b"57P03", "shutting down", ready=False)))
                 peer.sock.close()
--- a/tests/test_stop_deadline.py
+++ b/tests/test_stop_deadline.py
@@ -47,7 +47,7 @@
         self.assert_kept(scenario, ANSWERED_RULE, SERVICE_RULE)
 
     def test_a_crowd_that_finds_no_room_at_a_stop(self):
-        scenario = Scenario(seed=47, limits_s=(3.0, 2.25), nodes=HANGING, clients=CLIENTS, crowd=250, crowd_after_s=0.1)
+        scenario = Scenario(seed=47, limits_s=(3.0, 2.25), nodes=HANGING, clients=CLIENTS, burst=250, burst_after_s=0.1)
         self.assert_kept(scenario, ANSWERED_RULE)
 
 
