--- a/brookreach/net/client.py
+++ b/brookreach/net/client.py
@@ -15,7 +15,6 @@
 from brookreach.net import pgwire
 from brookreach.net.answers import AnswerQueue, Slot
 from brookreach.net.handshake import startup_answer
-from brookreach.net.poller import IN
 from brookreach.net.statement import BadStatement, harmless, statement
 from brookreach.net.stream import Stream
 
@@ -24,6 +23,8 @@
 
 EXTENDED = (b"P", b"B", b"D", b"E", b"C", b"H")  # of the extended protocol, all but Sync
 
+DEFECT = "a defect of ours"
+
 
 class Client(Stream):
     """One client connection."""
@@ -90,13 +91,6 @@
         if len(self.inbound):
             self.home.half.setdefault(self, time.monotonic())
 
-    def read_up(self) -> None:
-        """Look at what has come since the last turn."""
-        for _ in range(self.home.limits.sockets):
-            if self.closed or not self.reading or self.quiet():
-                return
-            self.ready(IN)
-
     def _startup(self, body: memoryview) -> None:
         answer = startup_answer(body)
         if answer is None:
@@ -147,9 +141,13 @@
 
     def failed(self) -> None:
         """What was asked before is answered; what met the defect fails, which promises nothing."""
-        if not self.closed:
+        if self.closed:
+            return
+        try:
             self._in_order(pgwire.error(b"XX000", "internal error", ready=False))
-            self.give_up("a defect of ours")
+            self.give_up(DEFECT)
+        except Exception:  # the defect is in what answers: only this connection may end by it
+            self.end(DEFECT)
 
     def broke(self, why: str) -> None:
         if not why.startswith("not the protocol"):
--- a/brookreach/net/clients.py
+++ b/brookreach/net/clients.py
@@ -139,7 +139,7 @@
         first_s = limits.linger_s if self.stopping else limits.silent_s
         for row, wait_s in ((self.silent, first_s), (self.half, limits.silent_s)):
             for client in older(row, now - wait_s):
-                client.read_up()  # what came in this instant is not lost
+                client.read_up(limits.sockets)  # what came in this instant is not lost
                 # Slow is not silent; but no RPC has more time than drip_s.
                 since = row.get(client, now)
                 drips = len(client.inbound) > 0 and since >= now - limits.drip_s
@@ -149,7 +149,7 @@
             full = len(self.open) - len(self.silent) > limits.clients // 2
             if not full and self.idle[client] >= now - limits.idle_s:
                 return
-            client.read_up()
+            client.read_up(limits.sockets)
             if client in self.idle and not len(client.inbound):
                 client.end("idle")
 
@@ -165,9 +165,7 @@
 
     def last_call(self) -> None:
         """New connections are refused from here on; what has come up to now is served, also where it lies unread."""
-        for _ in range(self.limits.backlog):
-            if not self.arrived():
-                break
+        self._accept_all()
         self.stopping = True
         for client in list(self.open):
             client.leave()
@@ -181,13 +179,17 @@
     def close(self) -> None:
         """Refuse those that still wait to be accepted, and listen no more."""
         self.stopping = self.is_closing = True
-        for _ in range(self.limits.backlog):
-            if not self.arrived():
-                break
+        self._accept_all()
         if self.listener is not None:
             self.listener.close()
             self.listener = None
 
+    def _accept_all(self) -> None:
+        """Accept until nobody waits; an error for want of room is tried again at once, so many times at the most."""
+        for _ in range(self.limits.backlog):
+            if not self.arrived() and not self.is_paused:
+                return
+
 
 class ResumeAccepting(Expiring):
     """The alarm of a listener that had no room for one more connection."""
--- a/brookreach/net/driver.py
+++ b/brookreach/net/driver.py
@@ -11,7 +11,6 @@
 from collections import Counter, deque
 from collections.abc import Callable
 
-import anyio
 import anyio.lowlevel
 
 from brookreach import interface as ifc
@@ -59,6 +58,8 @@
 
     def alarm(self, delay_ms: float, what: Expiring) -> None:
         self.timers.set(self.clock.now() + delay_ms, what)
+        if self.waiting is not None:  # another task set it
+            self.waiting.cancel()
 
     def take(self, statement: Statement, slot: Slot, came_at: float) -> int:
         """Number an RPC and hand it to the module. `came_at`, by the monotonic clock, is the earliest that its
@@ -129,8 +130,7 @@
             else:
                 await anyio.lowlevel.checkpoint()  # other tasks have their turn
                 continue
-            wait_s = (self.timers.next_at() - self.clock.now()) / 1000.0
-            with anyio.move_on_after(max(0.0, wait_s)) as self.waiting:
+            with anyio.move_on_after(max(0.0, (self.timers.next_at() - self.clock.now()) / 1000.0)) as self.waiting:
                 await self.poller.wait()
             self.waiting = None
             self.poller.polled = time.monotonic()  # what is found now has just come
--- a/brookreach/net/stream.py
+++ b/brookreach/net/stream.py
@@ -132,6 +132,13 @@
             if error.errno not in FOR_A_MOMENT:
                 raise
 
+    def read_up(self, turns: int) -> None:
+        """Look at what has come since the last turn, so many times at the most."""
+        for _ in range(turns):
+            if self.closed or not self.reading or self.quiet():
+                return
+            self.ready(IN)
+
     def quiet(self) -> bool:
         """Whether an idle connection still stands, with nothing unread on it."""
         try:
