A refused connection that has gone leaves the poller as it was; the soak resets new connections

Change: the refused connection stands in the table before its answer is written, and ends like any other. The soak has clients that reset new connections.

--- a/brookreach/net/refusals.py
+++ b/brookreach/net/refusals.py
@@ -19,10 +19,13 @@
 class Refused(Stream):
     """A connection that was answered before it asked anything: whatever comes on it, nothing of it ran."""
 
-    def __init__(self, home: Refusals, sock: socket.socket, answer: bytes) -> None:
+    def __init__(self, home: Refusals, sock: socket.socket) -> None:
         super().__init__(home.poller, sock, pgwire.Inbound(home.limits.message, home.pool))
         self.home = home
         self.has_written = False  # its client has: by now it reads
+
+    def tell(self, answer: bytes) -> None:
+        """Write the answer, then end our side. OSError where the connection is broken."""
         self.send([answer])
         self.pushed()
 
@@ -33,15 +36,15 @@
     def came(self) -> None:
         self.inbound.head = self.inbound.tail  # answered already; unread it would end in a reset over the answer
         self.has_written = True
-        if self in self.home.open:
-            self.home.open.move_to_end(self, last=False)
+        self.home.open.move_to_end(self, last=False)
 
     def broke(self, why: str) -> None:
         self.end()
 
     def end(self) -> None:
-        self.close()
-        self.home.left(self)
+        if not self.closed:
+            self.close()
+            self.home.left(self)
 
 
 class Refusals:
@@ -72,12 +75,12 @@
         """A close is no answer: say that trying again is harmless, then end our side."""
         while len(self.open) >= self._room():
             self._close(next(iter(self.open)))
+        refused = Refused(self, sock)
+        self.open[refused] = time.monotonic()
         try:
-            refused = Refused(self, sock, pgwire.error(state, text, ready=False))
+            refused.tell(pgwire.error(state, text, ready=False))
         except OSError:  # it has gone
-            sock.close()
-            return
-        self.open[refused] = time.monotonic()
+            refused.end()
 
     def left(self, refused: Refused) -> None:
         self.open.pop(refused, None)
@@ -85,7 +88,8 @@
 
     def _close(self, refused: Refused) -> None:
         for mask in (OUT, IN):  # the rest of its answer, and what would end it in a reset
-            refused.ready(mask)
+            if not refused.closed:
+                refused.ready(mask)
         refused.end()
 
     def sweep(self) -> None:
--- a/brookreach/simulation/balancer/clients.py
+++ b/brookreach/simulation/balancer/clients.py
@@ -103,6 +103,11 @@
             await connection.send(HELLO, [])
             await connection.wait_until(lambda: connection.has_ended)
             return
+        if self._style == ClientStyle.ABORTING:
+            await connection.send(HELLO, [])
+            await anyio.sleep(self._rng.uniform(*THINK_S))
+            connection.reset()
+            return
         request, query = self._requests.make(self._rng)
         if self._rng.random() < 0.5:
             await connection.send(HELLO + query, [request])
--- a/brookreach/simulation/balancer/connection.py
+++ b/brookreach/simulation/balancer/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import select
+import socket
 import time
 from collections import deque
 from collections.abc import Callable
@@ -17,6 +18,7 @@
 
 REFUSALS = (pgwire.PUSHED_BACK, pgwire.NOT_READY)
 POLL_S = 0.005
+NO_LINGER = b"\1\0\0\0\0\0\0\0"
 
 
 class Connection:
@@ -74,6 +76,11 @@
         """Whether the balancer has ended its side of the connection, also behind answers that are not read yet."""
         return self._is_ready(select.POLLRDHUP)
 
+    def reset(self) -> None:
+        """Let it end by a reset when it is closed."""
+        raw = self.stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+
     def _is_ready(self, mask: int) -> bool:
         """Whether the connection is ready for this, or has ended."""
         raw = self.stream.extra(anyio.abc.SocketAttribute.raw_socket)
--- a/brookreach/simulation/balancer/nodes.py
+++ b/brookreach/simulation/balancer/nodes.py
@@ -12,6 +12,7 @@
 
 from brookreach.net import pgwire
 from brookreach.net.result import INSERTED, SELECTED
+from brookreach.simulation.balancer.connection import NO_LINGER
 from brookreach.simulation.balancer.messages import MessageStream
 from brookreach.simulation.balancer.record import Attempt, AttemptEnd, Record
 from brookreach.simulation.balancer.scenario import NodeKind
@@ -29,7 +30,6 @@
 LARGE_BYTES, PADDING = 60_000, b"."
 REFUSAL = pgwire.error(pgwire.PUSHED_BACK, "queue full")
 ERROR = pgwire.error(b"XX000", "failed")
-NO_LINGER = b"\1\0\0\0\0\0\0\0"
 
 
 def row_answer(value: bytes, is_insert: bool) -> bytes:
--- a/brookreach/simulation/balancer/scenario.py
+++ b/brookreach/simulation/balancer/scenario.py
@@ -33,6 +33,7 @@
     SLOW_READER = "reads late"
     LEAVING = "leaves early"
     SILENT = "asks nothing"
+    ABORTING = "resets new connections"
 
 
 class NodeKind(StrEnum):
@@ -59,6 +60,7 @@
     ClientStyle.SLOW_READER: 2,
     ClientStyle.LEAVING: 3,
     ClientStyle.SILENT: 1,
+    ClientStyle.ABORTING: 2,
 }
 
 
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -68,6 +68,26 @@
         late.look()
         self.assertEqual((len(port.home.refusals.open), late.heard, late.over), (5, b"", None))
 
+    def test_one_that_has_gone_leaves_its_descriptor_as_it_was(self):
+        """The next connections get the same numbers, and are served."""
+        port = self.full_port()
+        for _ in range(5):
+            gone = port.peer(HELLO)
+            gone.acknowledged()
+            gone.reset()
+            port.peers.remove(gone)
+            port.rest()
+        port.desk.answer(1)
+        for number in range(2, 8):
+            peer = port.ready_peer()
+            peer.send(query(number))
+            port.until(lambda number=number: number in port.desk.slots)
+            port.desk.answer(number)
+            peer.hears(row(b"%d" % number))
+            peer.sock.close()
+            port.until(lambda: not port.home.open)
+        self.assertEqual(set(port.poller.watched), port.poller.registered)
+
     def test_an_answer_that_the_kernel_takes_later(self):
         """The first call of sendmsg fails for want of buffers: our side must not be ended before the answer."""
         port = self.full_port()
