--- a/brookreach/simulation/balancer/checker.py
+++ b/brookreach/simulation/balancer/checker.py
@@ -45,8 +45,9 @@
     for request in record.requests:
         if unbound_reason(scenario, record, request):
             continue
-        due_at = request.written_at + request.wait_s
-        late_s = request.ended_at - due_at
+        # The time for which an answer has to wait for those before it on its connection does not count.
+        turn_at = request.previous.ended_at if request.previous is not None else request.written_at
+        late_s = request.ended_at - max(request.written_at + request.wait_s, turn_at)
         if request.outcome in (Outcome.CLOSED, Outcome.OPEN):
             yield f"{_describe(record, request)}: {request.outcome}"
         elif late_s > LATE_S + SLACK_S + _allowance_s(scenario, record):
--- a/brookreach/simulation/balancer/connection.py
+++ b/brookreach/simulation/balancer/connection.py
@@ -51,6 +51,7 @@
         is_first, behind = not self.has_asked, len(self.requests)
         for request in requests:
             request.is_first, request.behind, request.batch = is_first, behind, requests[0].name
+            request.previous = self.requests[-1] if self.requests else None
             self.has_asked = True
             self.requests.append(request)
         if requests and self.peer_has_ended():  # a write would be answered by a reset over what lies unread
--- a/brookreach/simulation/balancer/record.py
+++ b/brookreach/simulation/balancer/record.py
@@ -30,6 +30,7 @@
         is_first: Whether it is the first one of its connection.
         behind: How many requests of its connection had no answer when it was written.
         batch: Names the requests that were written in one piece with it.
+        previous: The request that its answer has to follow: the last one before it that had no answer.
         written_at: When the kernel took its last byte; infinite until then.
         ended_at: When its last byte of answer was read, its connection was seen to end or its client left.
         value: The value that was served.
@@ -42,6 +43,7 @@
     is_first: bool
     behind: int
     batch: str = ""
+    previous: Request | None = field(default=None, repr=False)
     written_at: float = float("inf")
     ended_at: float = float("inf")
     outcome: Outcome = Outcome.OPEN
--- a/tests/simulation/test_balancer_soak.py
+++ b/tests/simulation/test_balancer_soak.py
@@ -109,6 +109,12 @@
         self.assertEqual(self.rules([self.request(Outcome.OPEN)]), [checker.ANSWERED_RULE])
         self.assertEqual(self.rules(surplus_messages=["one"]), [checker.ANSWERED_RULE])
 
+    def test_an_answer_that_waits_for_those_before_it(self):
+        head = self.request(Outcome.FAILED, ended_at=3.0, wait_s=3.0, name="b")
+        self.assertEqual(self.rules([head, self.request(Outcome.FAILED, ended_at=3.1, previous=head)]), [])
+        late = self.request(Outcome.FAILED, ended_at=3.7, previous=head)
+        self.assertEqual(self.rules([head, late]), [checker.ANSWERED_RULE])
+
     def test_what_crosses_the_end_of_a_resting_connection(self):
         self.assertEqual(self.rules([self.request(Outcome.CLOSED, ended_at=0.02)]), [])
         for other in ({"is_first": True}, {"behind": 1}, {"ended_at": 0.06}):
