--- a/brookreach/simulation/balancer/nodes.py
+++ b/brookreach/simulation/balancer/nodes.py
@@ -69,6 +69,8 @@
                 await self._serve_connection(stream)
         except GONE:
             return
+        except pgwire.BrokenStream as error:
+            self._record.surplus_messages.append(f"node {self.number} got what is not the protocol: {error}")
 
     async def _serve_connection(self, stream: anyio.abc.SocketStream) -> None:
         messages = MessageStream(stream)
