--- a/brookreach/disruption/balancer_client.py
+++ b/brookreach/disruption/balancer_client.py
@@ -37,7 +37,7 @@
 from brookreach.disruption.states import TargetStatus
 from brookreach.disruption.tables import BALANCERS, HALT, NODES, PERMITS
 from brookreach.files import BadFile
-from brookreach.net.link import Listed
+from brookreach.net.endpoint import Listed
 
 WATCHED_TABLES = (HALT, BALANCERS, NODES, PERMITS)
 BALANCER_SERVICE = "marshals"
--- a/brookreach/disruption/endpoint_overlay.py
+++ b/brookreach/disruption/endpoint_overlay.py
@@ -15,7 +15,7 @@
 from brookreach.disruption.tables import NODES, PERMITS, NodeRow, PermitRow
 from brookreach.enumerations import ListKind, NodeState
 from brookreach.interface import NodeList
-from brookreach.net.link import Listed
+from brookreach.net.endpoint import Listed
 
 EndpointListener = Callable[[NodeList, list[Listed]], None]
 
--- a/brookreach/net/discovery.py
+++ b/brookreach/net/discovery.py
@@ -19,9 +19,9 @@
 
 from brookreach import interface as ifc
 from brookreach.net.backoff import Backoff
+from brookreach.net.endpoint import Listed
 from brookreach.net.http import LOST, Http, NotHttp
 from brookreach.net.limits import Limits
-from brookreach.net.link import Listed
 from brookreach.net.report import Report
 from brookreach.net.stream import address
 
--- a/brookreach/net/driver.py
+++ b/brookreach/net/driver.py
@@ -19,8 +19,9 @@
 from brookreach.net.answers import ABORTED, Slot, pushed_back
 from brookreach.net.clock import Clock as Clock
 from brookreach.net.drain import Drain
+from brookreach.net.endpoint import Listed
+from brookreach.net.in_flight import PickOutcome
 from brookreach.net.limits import Limits
-from brookreach.net.link import Listed, PickOutcome
 from brookreach.net.nodes import Nodes
 from brookreach.net.open_rpcs import OpenRpc, OpenRpcs
 from brookreach.net.poller import Expiring, Poller
--- a/brookreach/net/nodes.py
+++ b/brookreach/net/nodes.py
@@ -10,8 +10,10 @@
 
 from brookreach import interface as ifc
 from brookreach.net import pgwire
+from brookreach.net.endpoint import Endpoint, Listed
+from brookreach.net.in_flight import Ending, HalfWritten, InFlight, Owner, PickOutcome
 from brookreach.net.limits import Limits
-from brookreach.net.link import Ending, Endpoint, HalfWritten, InFlight, Link, Listed, Owner, PickOutcome
+from brookreach.net.link import Link, LinkTable
 from brookreach.net.poller import Poller
 from brookreach.net.report import Report
 from brookreach.net.statement import Statement
@@ -19,12 +21,25 @@
 
 class Nodes:
     def __init__(self, limits: Limits, report: Report, poller: Poller, owner: Owner) -> None:
-        self.limits, self.report, self.poller, self.owner = limits, report, poller, owner
-        self.pool = pgwire.Pool(limits.large)
+        self.limits, self.report, self.owner = limits, report, owner
+        self.table = LinkTable(limits, report, poller)
         self.endpoints: dict[int, Endpoint] = {}
-        self.settling: dict[Link, float] = {}  # answered, but not ready for the next query; since when
         self.in_flight: dict[tuple[int, int], InFlight] = {}
-        self.links = 0  # connections that stand or are coming up
+
+    @property
+    def links(self) -> int:
+        """Connections that stand or are coming up."""
+        return self.table.count
+
+    @property
+    def settling(self) -> dict[Link, float]:
+        """Connections that are answered, but not ready for the next query; since when."""
+        return self.table.settling
+
+    @property
+    def pool(self) -> pgwire.Pool:
+        """The memory for what is large on connections to nodes."""
+        return self.table.pool
 
     # --- what discovery and the platform say ---
 
@@ -60,9 +75,6 @@
             if endpoint.listed.entry.build >= build:
                 endpoint.epoch += 1
 
-    def may_write(self, flight: InFlight) -> bool:
-        return flight.statement is None or self.owner.wanted(flight.rpc)
-
     # --- what the driver asks for ---
 
     def pick(self, pick: ifc.Pick, nth: int, statement: Statement) -> None:
@@ -70,7 +82,7 @@
         if endpoint is None:
             self.owner.put(PickOutcome(pick.rpc, nth, pick.node, Ending.MOOT, 0.0, []))
             return
-        flight = InFlight(self, endpoint, pick.rpc, nth, pick.wait_ms, pick.write_ms, statement)
+        flight = InFlight(self.owner, self.in_flight, endpoint, pick.rpc, nth, pick.wait_ms, pick.write_ms, statement)
         self.in_flight[pick.rpc, nth] = flight
         self.owner.alarm(pick.wait_ms, flight)
         if pick.write_ms < pick.wait_ms:
@@ -92,7 +104,7 @@
         endpoint = self.endpoints.get(node)
         if endpoint is not None:
             wait_ms = self.limits.dial_s * 1000.0
-            flight = InFlight(self, endpoint, 0, 0, wait_ms, wait_ms, None)
+            flight = InFlight(self.owner, self.in_flight, endpoint, 0, 0, wait_ms, wait_ms, None)
             self.owner.alarm(wait_ms, flight)
             self._start(flight, wait_ms)
 
@@ -131,8 +143,8 @@
             self.report.say("nodes", f"no socket: {error}")
             flight.end(Ending.MOOT, [])
             return
-        self.links += 1
-        link = Link(self, endpoint, sock, flight)
+        self.table.count += 1
+        link = Link(self.table, endpoint, sock, flight)
         flight.link = link
         try:
             sock.connect(endpoint.listed.address)
--- a/brookreach/scale/marshal_lists.py
+++ b/brookreach/scale/marshal_lists.py
@@ -11,7 +11,7 @@
 
 from brookreach import interface as ifc
 from brookreach.__main__ import Parts
-from brookreach.net.link import PickOutcome
+from brookreach.net.in_flight import PickOutcome
 from brookreach.scale import marshal_configuration as configured
 from brookreach.scale.marshal_load import WAIT_MS
 from brookreach.scale.marshal_sizes import Size
--- a/brookreach/xds/service.py
+++ b/brookreach/xds/service.py
@@ -12,7 +12,7 @@
 from brookreach.__main__ import Parts
 from brookreach.configuration import object_at
 from brookreach.files import BadFile
-from brookreach.net.link import Listed
+from brookreach.net.endpoint import Listed
 from brookreach.net.report import Writers
 from brookreach.tls.reloader import CredentialsReloader
 from brookreach.xds import store
--- a/tests/disruption/test_endpoint_overlay.py
+++ b/tests/disruption/test_endpoint_overlay.py
@@ -12,7 +12,7 @@
 from brookreach.coordination.state_machine.application import InMemoryView, RowUpdate
 from brookreach.disruption.endpoint_overlay import AgreedDrains, EndpointOverlay
 from brookreach.disruption.tables import NODES, PERMITS, NodeRow, PermitRow
-from brookreach.net.link import Listed
+from brookreach.net.endpoint import Listed
 
 
 class OverlayTest(unittest.TestCase):
--- a/tests/peers_nodes.py
+++ b/tests/peers_nodes.py
@@ -13,8 +13,9 @@
 from brookreach.net import pgwire
 from brookreach.net.drain import Drain
 from brookreach.net.driver import Clock, Driver
+from brookreach.net.endpoint import Listed
+from brookreach.net.in_flight import PickOutcome
 from brookreach.net.limits import limits_from
-from brookreach.net.link import Listed, PickOutcome
 from brookreach.net.nodes import Nodes
 from brookreach.net.poller import Poller
 from brookreach.net.statement import statement
