--- a/brookreach/net/endpoint.py
+++ b/brookreach/net/endpoint.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from typing import TYPE_CHECKING
 
@@ -30,3 +31,4 @@
         self.epoch = 0  # moves when picks that are decided but not written must not be written any more
         self.life = 0  # moves when its connections lead to a process that has gone or wants nothing new
         self.idle: deque[Link] = deque()
+        self.single_use_until = -math.inf  # its order of answers proves nothing: each connection is used once
--- /dev/null
+++ b/brookreach/net/fence.py
@@ -0,0 +1,55 @@
+"""Fences: queries that do nothing, behind one that asks; their replies prove whose answer came before them. No I/O.
+
+An answer names no query: it belongs to one by order alone, and on a connection that was used before, what comes may be
+a late copy of an earlier answer. A node answers in order. So behind each further query stands a fence whose replies no
+earlier fence of the connection had: when they have come, the query's own answer has, and if exactly one answer
+came before them, it is that one. How long a connection was silent proves nothing.
+
+It owns the words of fences. It must never read or write a connection.
+"""
+
+from __future__ import annotations
+
+from brookreach.net import pgwire
+
+LETTERS = 4  # queries in a fence
+COUNT = 2**LETTERS  # fences that differ: the further queries of one connection
+# Two harmless queries whose replies can be told apart: by the tag of the reply's first message.
+QUERIES = (b"".join(pgwire.query(b"")), b"".join(pgwire.query(b"SET application_name TO DEFAULT")))
+REPLY_TAGS = (b"I", b"C")
+
+
+class Fence:
+    """One of the fences of a connection: what is written, and the tags that its replies begin with."""
+
+    def __init__(self, number: int) -> None:
+        letters = [number >> at & 1 for at in range(LETTERS)]
+        self.query = b"".join([QUERIES[letter] for letter in letters])
+        self.tags = [REPLY_TAGS[letter] for letter in letters]
+
+
+FENCES = [Fence(number) for number in range(COUNT)]
+
+
+class FenceReplies:
+    """The replies to a fence as they come, message by message. `whole` once all have come."""
+
+    def __init__(self, fence: Fence) -> None:
+        self.fence = fence
+        self.answered, self.has_begun = 0, False
+        self.whole = False
+
+    def message(self, tag: bytes, body: memoryview) -> None:
+        """Take the next message, until all are there. Raises BrokenStream for what is none of this fence's replies."""
+        if tag in (b"N", b"S"):
+            return
+        if self.has_begun and tag == b"Z" and body == b"I":
+            self.has_begun = False
+            self.answered += 1
+            self.whole = self.answered == LETTERS
+        elif not self.has_begun and tag == self.fence.tags[self.answered]:
+            self.has_begun = True
+        elif tag == b"T" or (tag == b"E" and self.fence.tags[self.answered] == b"I"):  # SET may be refused
+            raise pgwire.SecondAnswerError("a second answer in front of its fence")
+        else:
+            raise pgwire.BrokenStream(f"message {tag!r} in place of a fence's reply")
--- a/brookreach/net/nodes.py
+++ b/brookreach/net/nodes.py
@@ -123,6 +123,7 @@
                 endpoint.idle.remove(link)
                 if link.quiet():
                     return link
+                link.read_now()  # notes what came, be it a second answer or the end
                 link.drop()
         return None
 
@@ -165,7 +166,7 @@
         now = time.monotonic()
         old = now - self.limits.idle_s
         for link in [one for one, since in self.settling.items() if since < now - self.limits.dial_s]:
-            link.drop()
+            link.settle_no_more()
         for endpoint in self.endpoints.values():
             while endpoint.idle and endpoint.idle[0].parked_at < old:
                 endpoint.idle[0].drop()
--- a/brookreach/net/pgwire.py
+++ b/brookreach/net/pgwire.py
@@ -18,6 +18,10 @@
     """The bytes are not the protocol; nothing more can be read from this connection."""
 
 
+class SecondAnswerError(BrokenStream):
+    """What comes begins a second answer where one was asked for."""
+
+
 class Pool:
     """Memory that connections share for what doesn't fit into their first buffers."""
 
@@ -131,7 +135,17 @@
 
 def error_state(body: memoryview) -> bytes:
     """An ErrorResponse's SQLSTATE."""
+    return error_field(body, b"C")
+
+
+def ends_connection(body: memoryview) -> bool:
+    """Whether an ErrorResponse is the last message of its connection."""
+    return (error_field(body, b"V") or error_field(body, b"S")) in (b"FATAL", b"PANIC")
+
+
+def error_field(body: memoryview, kind: bytes) -> bytes:
+    """The first field of this kind of an ErrorResponse; empty where it has none."""
     for field in bytes(body).split(b"\0"):
-        if field[:1] == b"C":
+        if field[:1] == kind:
             return field[1:]
     return b""
--- a/brookreach/simulation/balancer/defects.py
+++ b/brookreach/simulation/balancer/defects.py
@@ -10,6 +10,7 @@
     "full-house-closes": "a connection that finds no room is closed with no answer",
     "false-refusal": "an unsafe request is refused as harmless whatever ran",
     "unsafe-retry": "an unsafe request gets a further attempt after one that may have run",
+    "pause-is-proof": "after a pause the next answer on a connection is taken for the next query's",
     "goes-on-after-leave": "the decisions never hear that a client has left",
 }
 """By the name that users type after `--plant`: what is wrong then."""
--- a/brookreach/simulation/balancer/messages.py
+++ b/brookreach/simulation/balancer/messages.py
@@ -7,12 +7,26 @@
 from anyio.abc import ByteStream
 
 from brookreach.net import pgwire
+from brookreach.net.result import INSERTED, SELECTED
 from brookreach.simulation.stand_ins import into
 
+REFUSAL = pgwire.error(pgwire.PUSHED_BACK, "queue full")
+ERROR = pgwire.error(b"XX000", "failed")
 MAX_MESSAGE_BYTES = 1 << 20
 POOL_BYTES = 1 << 22
 
 
+def row_answer(value: bytes, is_insert: bool) -> bytes:
+    """Return the messages of one row that holds `value`, up to ReadyForQuery."""
+    body = b"\0\1" + len(value).to_bytes(4, "big") + value
+    parts = [
+        *pgwire.framed(b"T", b"\0\1data\0" + bytes(18)),
+        *pgwire.framed(b"D", body),
+        *pgwire.framed(b"C", INSERTED if is_insert else SELECTED),
+    ]
+    return b"".join(parts) + pgwire.READY
+
+
 class MessageStream:
     """Reads messages from a stream.
 
--- a/tests/mutation_rig.py
+++ b/tests/mutation_rig.py
@@ -102,6 +102,13 @@
     return said + ([("half an answer", b"")] if parts or whole < len(data) else [])
 
 
+# Queries that do nothing, as balancers write them behind others, and a node's messages for each.
+HARMLESS = {
+    b"": [frame(b"I", b""), frame(b"Z", b"I")],
+    b"SET application_name TO DEFAULT": [frame(b"C", b"SET\0"), frame(b"Z", b"I")],
+}
+
+
 async def until_spun(true):
     """Without a pause at first: most is a turn or two away."""
     for _ in range(20):
@@ -204,6 +211,9 @@
                     tag, body = found[0]
                     data = data[5 + len(body) :]
                     text = bytes(body[:-1])
+                    if text in HARMLESS:  # answered in their order, and never spoilt
+                        await stream.send(b"".join(HARMLESS[text]))
+                        continue
                     self.heard.append(text)
                     said = self.script(text)
                     self.made.setdefault(value(text), []).append(said.data if hasattr(said, "data") else b"".join(said))
--- a/tests/simulation/test_balancer_soak.py
+++ b/tests/simulation/test_balancer_soak.py
@@ -23,6 +23,7 @@
 CONCURRENT = 4
 SINGLE, PIPELINED, LEAVING = (ClientStyle.SINGLE,), (ClientStyle.PIPELINED,), (ClientStyle.LEAVING,)
 HANGING, SLOW, RESETTING = (NodeKind.HANGING,) * 4, (NodeKind.SLOW,) * 4, (NodeKind.RESETTING,) * 4
+TWICE = (NodeKind.TWICE,) * 4
 
 
 def scenario(limits_s, nodes, clients=SINGLE * 12 + PIPELINED * 6, **other):
@@ -38,6 +39,7 @@
     "full-house-closes": (scenario((1.0, 0.8), HANGING, burst=250, burst_after_s=0.1), checker.ANSWERED_RULE),
     "false-refusal": (scenario((1.0, 0.8), HANGING), checker.REFUSAL_RULE),
     "unsafe-retry": (scenario((1.0, 0.8), RESETTING), checker.ONCE_RULE),
+    "pause-is-proof": (scenario((1.0, 0.8), TWICE), checker.VALUE_RULE),
     "goes-on-after-leave": (scenario((3.0, 2.25), (*RESETTING, *SLOW), LEAVING * 24), checker.LEFT_RULE),
 }
 
