--- a/tests/peers_http.py
+++ b/tests/peers_http.py
@@ -55,6 +55,11 @@
         body = json.dumps(told).encode()
         await self.send(f"HTTP/1.1 {status} OK\r\n{more}Content-Length: {len(body)}\r\n\r\n".encode() + body)
 
+    async def answer_twice(self, told):
+        """The same answer twice, in one piece."""
+        body = json.dumps(told).encode()
+        await self.send(2 * (f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body))
+
     async def close(self):
         await self.stream.aclose()
 
