Bytes behind an answer, or the same change twice, end a connection to discovery

Cause: HTTP/1.1 pairs answers with calls by order alone, and h11 keeps what stands behind an answer for the next call. Change: a call is not written where bytes stand behind the last answer, in the buffer or in the kernel; a change that comes twice, byte by byte, is a second answer. Either way the connection is left and the whole list asked anew; one line in the log. Votes have a connection each; the feed takes no further call.

--- a/brookreach/net/discovery.py
+++ b/brookreach/net/discovery.py
@@ -213,12 +213,17 @@
             await self._connection(at, calls, all_calls)
 
     async def _call(self, http: Http, target: str, wait_s: float) -> None:
+        before = http.last_body
         with anyio.fail_after(wait_s):
             status = await http.ask("GET", target)
             body = await http.body(self.limits.body)
         if status != 200:
             raise NotHttp(f"status {status}")
-        self.read(json.loads(body))
+        listing = json.loads(body)
+        if body == before and not listing["complete"] and listing["members"]:
+            # A change has a version of its own: this is the last answer once more, and the call's own comes behind it.
+            raise NotHttp("the same change twice")
+        self.read(listing)
         self.heard.set()
         if time.monotonic() - self.behind_at > self.limits.behind_s:  # it is not late: it counts anew
             self.highest, self.behind_at, self.doubted = 0, math.inf, True
--- a/brookreach/net/http.py
+++ b/brookreach/net/http.py
@@ -5,11 +5,12 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import AsyncIterator
 
 import anyio
 import h11
-from anyio.abc import ByteStream
+from anyio.abc import ByteStream, SocketAttribute
 
 
 class NotHttp(Exception):
@@ -24,19 +25,26 @@
         self.stream, self.host = stream, host
         self.wire = h11.Connection(h11.CLIENT)
         self.written = False
+        self.last_body = b""  # of the answer before
 
     @classmethod
     async def connect(cls, to: tuple[str, int]) -> Http:
         return cls(await anyio.connect_tcp(*to), f"{to[0]}:{to[1]}")
 
     async def ask(self, method: str, target: str, body: bytes = b"") -> int:
-        """The answer's status; its body is read by `pieces`."""
+        """The answer's status; its body is read by `pieces`.
+
+        Answers belong to calls by order alone: where bytes stand behind the last one already, nothing tells whose the
+        next is, and NotHttp is raised before the call is written.
+        """
         headers = [("Host", self.host), ("Accept", "application/json")]
         if body:
             headers += [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
         events: list[h11.Event] = [h11.Request(method=method, target=target, headers=headers)]
         events += [h11.Data(data=body)] if body else []
         self.written = False
+        if self.wire.trailing_data[0] or self._has_unread():
+            raise NotHttp("bytes behind the last answer")
         try:
             head = b"".join([self.wire.send(event) or b"" for event in [*events, h11.EndOfMessage()]])
         except h11.LocalProtocolError as error:  # the answer before this call was the connection's last
@@ -69,7 +77,21 @@
             if size > most:
                 raise NotHttp("an endless body")
             parts.append(part)
-        return b"".join(parts)
+        self.last_body = b"".join(parts)
+        return self.last_body
+
+    def _has_unread(self) -> bool:
+        """Whether bytes lie in the kernel. An end does not count: the call finds it."""
+        raw = self.stream.extra(SocketAttribute.raw_socket)
+        if raw.fileno() < 0:
+            return False
+        borrowed = socket.socket(raw.family, raw.type, raw.proto, fileno=raw.fileno())
+        try:
+            return bool(borrowed.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+        except OSError:
+            return False
+        finally:
+            borrowed.detach()
 
     async def _next(self) -> object:
         try:
