--- a/tests/mutation_services.py
+++ b/tests/mutation_services.py
@@ -18,7 +18,8 @@
 
 from .helpers import NEWS, Town
 from .mutants import CHUNKED, SILENCE, Mutant, chunk, http
-from .mutation_rig import FAILED, ROW, Peer, ScriptedNode, asked, row, say, units
+from .mutation_reader import FAILED, ROW, asked, row, units
+from .mutation_rig import Peer, ScriptedNode, say
 
 MEMBER = {
     "id": "s-1",
--- /dev/null
+++ b/tests/test_fatal_errors.py
@@ -0,0 +1,124 @@
+"""An error that ends its connection says so: a client that keeps to the protocol must find its answer whole.
+
+What was seen: on each run with a stop or a crowd some thousands of errors of severity ERROR with no ReadyForQuery behind
+them, then our end; none was FATAL. By the protocol only a fatal error is whole without ReadyForQuery: a client that waits for it
+sees its connection end with no answer, a lost request. Cause: one function wrote every error, and the tests' readers took any
+last error for a fatal one, so they shared the fault. Two clients from the registry, against a stand-in, showed what else
+counts: on a connection that was welcomed both drop the code of an error, also of a fatal one, unless ReadyForQuery stands behind
+it; in place of the welcome one of them breaks by it.
+"""
+
+import unittest
+from unittest import mock
+
+from brookreach.net import pgwire
+from brookreach.net.client import Client
+
+from .mutation_reader import FATAL, frames, units
+from .peers_clients import HELLO, PortCase, query, row
+
+
+def severities(body):
+    """Both severity fields of an ErrorResponse: of the client's language, and the one that is never translated."""
+    return [field[1:] for field in body.split(b"\0") if field[:1] in (b"S", b"V")]
+
+
+class FatalTest(PortCase):
+    def is_fatal(self, heard, state, is_ready):
+        """One error that ends its connection, with ReadyForQuery behind it or without."""
+        messages = list(frames(heard))
+        self.assertEqual([tag for tag, _ in messages], [b"E", b"Z"] if is_ready else [b"E"])
+        self.assertEqual(severities(messages[0][1]), [b"FATAL", b"FATAL"])
+        self.assertIn(b"\0C" + state + b"\0", messages[0][1])
+
+    def full_port(self, **limits):
+        """A house of one, whose only client waits for its answer."""
+        port = self.port(clients=1, **limits)
+        peer = port.ready_peer()
+        peer.send(query(1))
+        port.until(lambda: port.desk.taken)
+        return port
+
+    def test_without_room_at_the_door(self):
+        port = self.full_port()
+        for data in (b"", HELLO, HELLO + query(2)):
+            end, heard = port.peer(data).ends()
+            self.assertEqual(end, "FIN")
+            self.is_fatal(heard, b"53300", False)
+
+    def test_past_the_last_call(self):
+        port = self.port()
+        port.home.last_call()
+        end, heard = port.peer(HELLO + query(1)).ends()
+        self.assertEqual(end, "FIN")
+        self.is_fatal(heard, b"57P03", False)
+
+    def test_a_silent_one_that_makes_room_may_have_asked(self):
+        """Its query is on its way: the error is the query's answer, and whole for every client."""
+        port = self.port(clients=1)
+        silent = port.ready_peer()
+        port.ready_peer()
+        end, heard = silent.ends()
+        self.assertEqual(end, "FIN")
+        self.is_fatal(heard, b"53300", True)
+
+    def test_a_silent_one_without_a_startup_message(self):
+        port = self.port(clients=1)
+        silent = port.peer(b"")
+        port.until(lambda: port.home.open)
+        port.ready_peer()
+        end, heard = silent.ends()
+        self.assertEqual(end, "FIN")
+        self.is_fatal(heard, b"53300", False)
+
+    def test_bytes_that_are_not_the_protocol(self):
+        port = self.port()
+        peer = port.ready_peer()
+        peer.send(query(1) + b"?\0\0\0\4")
+        port.until(lambda: port.desk.taken)
+        port.desk.answer(1)
+        peer.hears(row(b"1"))
+        self.is_fatal(peer.ends()[1], b"08P01", True)
+
+    def test_a_startup_that_is_not_the_protocol(self):
+        port = self.port()
+        self.is_fatal(port.peer(b"\0\0\0\x08\0\0\0\0").ends()[1], b"08P01", False)
+
+    def test_statements_that_can_not_be_taken(self):
+        port = self.port(faults=2)
+        peer = port.ready_peer()
+        bad = b"".join(pgwire.query(b"SELECT 1"))
+        peer.send(2 * bad)
+        _, heard = peer.ends()
+        refused, _, last = heard.partition(pgwire.READY)
+        self.assertEqual(severities(refused[5:]), [b"ERROR", b"ERROR"])
+        self.is_fatal(last, b"08P01", True)
+
+    def test_a_defect_of_ours(self):
+        port = self.port()
+        peer = port.ready_peer()
+        with mock.patch.object(Client, "_query", side_effect=KeyError("planted")):
+            peer.send(query(1))
+            heard = peer.ends()[1]
+        port.faults.clear()
+        self.is_fatal(heard, b"XX000", True)
+
+
+class ReaderTest(unittest.TestCase):
+    """The reader that judges all mutations takes an error for a whole answer only where the protocol does."""
+
+    def test_an_error_without_ready_is_no_answer(self):
+        def error(severity, untranslated):
+            return b"".join(pgwire.framed(b"E", b"S%bV%bC53300\0\0" % (severity + b"\0", untranslated + b"\0")))
+
+        for severity, untranslated, kind in (
+            (b"ERROR", b"ERROR", "error, not ready"),
+            (b"FATAL", b"ERROR", "error, not ready"),
+            (b"FATAL", b"FATAL", FATAL),
+        ):
+            self.assertEqual([one[0] for one in units(error(severity, untranslated), False)], [kind])
+        self.assertEqual(units(error(b"ERROR", b"ERROR") + pgwire.READY, False), [("error", b"53300")])
+
+
+if __name__ == "__main__":
+    unittest.main()
