--- a/brookreach/net/client.py
+++ b/brookreach/net/client.py
@@ -144,7 +144,7 @@
         if self.closed:
             return
         try:
-            self._in_order(pgwire.error(b"XX000", "internal error", ready=False))
+            self._in_order(pgwire.fatal(b"XX000", "internal error", ready=self.started))
             self.give_up(DEFECT)
         except Exception:  # the defect is in what answers: only this connection may end by it
             self.end(DEFECT)
@@ -154,7 +154,7 @@
             self.end(why)
             return
         self.home.report.say("client", why)
-        error = pgwire.error(b"08P01", why, ready=False)
+        error = pgwire.fatal(b"08P01", why, ready=self.started)
         if self.slots:  # it comes in its order, behind the answers of what was asked before
             self._in_order(error)
         else:
--- a/brookreach/net/clients.py
+++ b/brookreach/net/clients.py
@@ -107,7 +107,9 @@
                 asks = client.slots or client.rest or row is self.idle and len(client.inbound)
                 if not asks and client.quiet():
                     if row is self.silent:  # its first query may be on its way: that is answered
-                        self.refusals.refuse(client.detach(), pgwire.PUSHED_BACK, "too many connections")
+                        self.refusals.refuse(
+                            client.detach(), pgwire.PUSHED_BACK, "too many connections", client.started
+                        )
                         self.left(client, EVICTED)
                     else:
                         client.end(EVICTED)
--- a/brookreach/net/pgwire.py
+++ b/brookreach/net/pgwire.py
@@ -127,10 +127,25 @@
 
 
 def error(state: bytes, text: str, detail: str = "", ready: bool = True) -> bytes:
-    fields = [b"SERROR\0VERROR\0C", state, b"\0M", text.encode(), b"\0"]
+    """An error behind which the connection goes on: with ReadyForQuery, or, in the extended protocol, until Sync."""
+    return b"".join(_error_message(b"ERROR", state, text, detail)) + (READY if ready else b"")
+
+
+def fatal(state: bytes, text: str, ready: bool) -> bytes:
+    """An error that ends its connection.
+
+    By the protocol it is whole without ReadyForQuery, and in place of the welcome nothing may stand behind it. On a
+    connection that was welcomed a query may be on its way, and common clients drop the code of its answer
+    unless ReadyForQuery comes.
+    """
+    return b"".join(_error_message(b"FATAL", state, text, "")) + (READY if ready else b"")
+
+
+def _error_message(severity: bytes, state: bytes, text: str, detail: str) -> list[bytes]:
+    fields = [b"S", severity, b"\0V", severity, b"\0C", state, b"\0M", text.encode(), b"\0"]
     if detail:
         fields += [b"D", detail.encode(), b"\0"]
-    return b"".join(framed(b"E", *fields, b"\0")) + (READY if ready else b"")
+    return framed(b"E", *fields, b"\0")
 
 
 def error_state(body: memoryview) -> bytes:
--- a/brookreach/net/refusals.py
+++ b/brookreach/net/refusals.py
@@ -71,14 +71,14 @@
     def _room(self) -> int:
         return max(1, self.limits.refusals + max(0, self.spare()) // 2)
 
-    def refuse(self, sock: socket.socket, state: bytes, text: str) -> None:
+    def refuse(self, sock: socket.socket, state: bytes, text: str, is_welcomed: bool = False) -> None:
         """A close is no answer: say that trying again is harmless, then end our side."""
         while len(self.open) >= self._room():
             self._close(next(iter(self.open)))
         refused = Refused(self, sock)
         self.open[refused] = time.monotonic()
         try:
-            refused.tell(pgwire.error(state, text, ready=False))
+            refused.tell(pgwire.fatal(state, text, ready=is_welcomed))
         except OSError:  # it has gone
             refused.end()
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -2,7 +2,8 @@
 
 from brookreach.simulation.stand_ins import into
 
-from .town import NEWS, REPLIES, SETTINGS, US, Heard, Town, played, until
+from .town import Heard, Town, played, until
+from .town_settings import NEWS, REPLIES, SETTINGS, US
 from .world import IDEM, KEPT, ONCE, READS, TOKEN, TraceCase, World, line, method, node, start
 
 __all__ = [
