Caches are judged by the index that their rows have; a killed drill ends its children

Cause 1: a client applies several messages of its watch at once and then hands on one event each; the check paired an event's index with rows that were newer. Now it judges by the cache's own index. Readers of RowsChanged in the product (balancer_client, endpoint_overlay, node_agent, gangs' agent) read the newest rows and apply updates that are idempotent: not misled; the log line's place is the event's. The event's page says so now. Cause 2: children were ended in a finally, which SIGKILL never reaches.

--- a/brookreach/coordination/client/events.py
+++ b/brookreach/coordination/client/events.py
@@ -59,8 +59,9 @@
 
 @dataclass(frozen=True, slots=True)
 class RowsChanged:
-    """Rows of the cache have changed; it now stands at `index` of the log.
+    """Rows of the cache have changed: with these updates it came to stand at `index` of the log.
 
+    Events are handed on after all messages that came at once are applied: by then the cache may stand later.
     `is_snapshot`: the change came as a snapshot of all watched tables.
     """
 
--- a/brookreach/simulation/balancer/drill.py
+++ b/brookreach/simulation/balancer/drill.py
@@ -23,6 +23,7 @@
 from brookreach.simulation.balancer.program import SOURCE_COMMAND, run_command
 from brookreach.simulation.balancer.scenario import Scenario, plan_scenario
 from brookreach.simulation.balancer.soak_run import SoakRun
+from brookreach.simulation.processes.parent_death import end_with_parent
 from brookreach.simulation.report import Report, Violation, describe_error
 
 __all__ = ["DEFECTS", "run", "run_scenario"]
@@ -135,7 +136,9 @@
 
 def _results(seeds: range, defect: str) -> Generator[SeedResult]:
     """Yield the results in the order of the seeds; some are run side by side, each in a process of its own."""
-    with ProcessPoolExecutor(min(MAX_CONCURRENT, len(seeds)), mp_context=get_context("spawn")) as pool:
+    context = get_context("spawn")
+    workers = min(MAX_CONCURRENT, len(seeds))
+    with ProcessPoolExecutor(workers, context, initializer=end_with_parent, initargs=(os.getpid(),)) as pool:
         futures: list[Future[SeedResult]] = [pool.submit(_run_seed, seed, defect) for seed in seeds]
         try:
             for future in futures:
--- a/brookreach/simulation/balancer/program.py
+++ b/brookreach/simulation/balancer/program.py
@@ -17,6 +17,7 @@
 import anyio
 
 from brookreach.simulation.balancer.record import Record, SentSignal
+from brookreach.simulation.processes.parent_death import ENDING_WITH_PARENT
 
 ROOT = Path(__file__).parents[3]
 SHIM_FOLDER = Path(__file__).parent / "shim"
@@ -83,7 +84,7 @@
         }
         with self.log_path.open("ab") as log:
             self._process = subprocess.Popen(
-                ["/bin/sh", "-c", self._command],
+                [*ENDING_WITH_PARENT, "/bin/sh", "-c", self._command],
                 cwd=ROOT,
                 env=environment,
                 stdin=subprocess.DEVNULL,
--- a/brookreach/simulation/balancer/soak_run.py
+++ b/brookreach/simulation/balancer/soak_run.py
@@ -33,6 +33,7 @@
     ClientStyle,
     Scenario,
 )
+from brookreach.simulation.processes.parent_death import ENDING_WITH_PARENT
 from brookreach.simulation.processes.ports import HOST, PortAllocator
 from brookreach.simulation.stand_ins import GONE
 
@@ -61,7 +62,10 @@
 
     async def run(self) -> None:
         """Play it; ends every process that it started."""
-        busy = [subprocess.Popen([sys.executable, "-c", BUSY_PROGRAM]) for _ in range(self.scenario.busy_processes)]
+        busy = [
+            subprocess.Popen([*ENDING_WITH_PARENT, sys.executable, "-c", BUSY_PROGRAM])
+            for _ in range(self.scenario.busy_processes)
+        ]
         try:
             with PortAllocator() as ports:
                 await self._play(ports)
--- a/brookreach/simulation/processes/counter_invariants.py
+++ b/brookreach/simulation/processes/counter_invariants.py
@@ -135,7 +135,7 @@
             case events.ReplyReceived() | events.OutcomeUnknown():
                 self._on_reply(event)
             case events.RowsChanged():
-                self._invariants.check_cache(self.name, event.index, self._client.cache)
+                self._invariants.check_cache(self.name, self._client.cache.index, self._client.cache)
                 self._on_row(self._client.cache.get(tables.NODES, self.name))
 
     def _on_reply(self, event: events.ReplyReceived | events.OutcomeUnknown) -> None:
--- a/brookreach/simulation/processes/program.py
+++ b/brookreach/simulation/processes/program.py
@@ -18,6 +18,7 @@
 
 import anyio
 
+from brookreach.simulation.processes.parent_death import ENDING_WITH_PARENT
 from brookreach.simulation.processes.ports import NoFreePortError, PortAllocator
 from brookreach.simulation.report import MissingReportError, Report
 
@@ -63,7 +64,7 @@
             return
         with self.log_path.open("ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "brookreach", *self.arguments],
+                [*ENDING_WITH_PARENT, sys.executable, "-m", "brookreach", *self.arguments],
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
