--- a/tests/test_second_answer_http.py
+++ b/tests/test_second_answer_http.py
@@ -6,9 +6,10 @@
 which failed before: the list after the copy was told as news a second time, and no new connection was made.
 """
 
+import json
 import unittest
 
-from .peers_http import Following, Peer, limits, listing, played
+from .peers_http import FEED, Following, Peer, Voting, chunk, limits, listing, played
 
 
 class WatchTest(unittest.TestCase):
@@ -79,5 +80,39 @@
         self.followed(story)
 
 
+def sample(failures, age_ms=900):
+    told = {"version": 7, "kind": "look", "requests": 57, "failures": failures, "avgMs": 18.5, "observedAgoMs": age_ms}
+    return json.dumps({"type": "SAMPLE", "object": told}).encode() + b"\n"
+
+
+class FeedTest(unittest.TestCase):
+    """A sample that is told twice would count twice: its failures are evidence against a build."""
+
+    def heard(self, *chunks):
+        """The failures of each sample that the decisions hear of, up to the last chunk's."""
+        failures = []
+
+        async def run(tasks):
+            peer = await Peer().listen(tasks)
+            voting = Voting(peer.at, limits())
+            tasks.start_soon(voting.platform.follow)
+            call = await peer.call()
+            await call.send(FEED + b"".join(chunk(one) for one in (*chunks, sample(55))))
+            while not voting.put or voting.put[-1].failed != 55:
+                await voting.heard(len(voting.put) + 1)
+            failures.extend(one.failed for one in voting.put[:-1])
+
+        played(run)
+        return failures
+
+    def test_a_chunk_twice(self):
+        both = sample(2) + sample(3)
+        self.assertEqual(self.heard(both, both), [2, 3])
+        self.assertEqual(self.heard(sample(2), sample(2)), [2])
+
+    def test_another_period_with_the_same_counts(self):
+        self.assertEqual(self.heard(sample(2), sample(2, age_ms=901)), [2, 2])
+
+
 if __name__ == "__main__":
     unittest.main()
