--- a/brookreach/net/fence.py
+++ b/brookreach/net/fence.py
@@ -49,7 +49,8 @@
             self.whole = self.answered == LETTERS
         elif not self.has_begun and tag == self.fence.tags[self.answered]:
             self.has_begun = True
-        elif tag == b"T" or (tag == b"E" and self.fence.tags[self.answered] == b"I"):  # SET may be refused
+        elif pgwire.begins_answer(tag, body) and (tag, self.fence.tags[self.answered]) != (b"E", b"C"):
+            # An error in place of SET's reply may be SET's own.
             raise pgwire.SecondAnswerError("a second answer in front of its fence")
         else:
-            raise pgwire.BrokenStream(f"message {tag!r} in place of a fence's reply")
+            raise pgwire.unexpected(tag, body, "in place of a fence's reply")
--- a/brookreach/net/link.py
+++ b/brookreach/net/link.py
@@ -85,8 +85,10 @@
             self.table.second_answers += 1
             self._distrust("answers twice")
             raise
+        except pgwire.ConnectionEndedError:
+            raise
         except pgwire.BrokenStream:
-            if self.uses > 1:
+            if self.uses > 1 and self.at != IDLE:  # there a notice or an end tells nothing of the order
                 self._distrust("does not answer in order")
             raise
 
--- a/brookreach/net/nodes.py
+++ b/brookreach/net/nodes.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 import socket
 import time
 
@@ -56,6 +57,8 @@
             endpoint.listed = one
             if other or new.state != ifc.NodeState.READY:
                 self._retire(endpoint)
+            if other:
+                endpoint.single_use_until = -math.inf  # it tells of the process before
         for number in [
             n
             for n, one in self.endpoints.items()
--- a/brookreach/net/pgwire.py
+++ b/brookreach/net/pgwire.py
@@ -22,6 +22,10 @@
     """What comes begins a second answer where one was asked for."""
 
 
+class ConnectionEndedError(BrokenStream):
+    """A fatal error in place of what should come: the other side ends the connection."""
+
+
 class Pool:
     """Memory that connections share for what doesn't fit into their first buffers."""
 
@@ -158,6 +162,18 @@
     return (error_field(body, b"V") or error_field(body, b"S")) in (b"FATAL", b"PANIC")
 
 
+def begins_answer(tag: bytes, body: memoryview) -> bool:
+    """Whether a message is an answer's first: a row, or an error behind which the connection goes on."""
+    return tag == b"T" or (tag == b"E" and not ends_connection(body))
+
+
+def unexpected(tag: bytes, body: memoryview, why: str) -> BrokenStream:
+    """Return the error for a message that does not belong where it stands."""
+    if tag == b"E" and ends_connection(body):
+        return ConnectionEndedError(f"fatal error {error_state(body).decode(errors='replace')}")
+    return BrokenStream(f"message {tag!r} {why}")
+
+
 def error_field(body: memoryview, kind: bytes) -> bytes:
     """The first field of this kind of an ErrorResponse; empty where it has none."""
     for field in bytes(body).split(b"\0"):
--- a/brookreach/net/result.py
+++ b/brookreach/net/result.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from brookreach.net.pgwire import HEAD, INT, BrokenStream, SecondAnswerError, error_state
+from brookreach.net.pgwire import HEAD, INT, SecondAnswerError, begins_answer, error_state, unexpected
 
 VALUE = 64 * 1024  # bytes of a value at most
 SELECTED, INSERTED = b"SELECT 1\0", b"INSERT 0 1\0"
@@ -41,10 +41,10 @@
                 pass
             case b"C" if len(self.parts) == 4 and self.verdict is None and body == self.words:
                 self.verdict = b""
-            case b"T" | b"E" if self.verdict is not None:
+            case _ if self.verdict is not None and begins_answer(tag, body):
                 raise SecondAnswerError("a second answer in front of ReadyForQuery")
             case _:
-                raise BrokenStream(f"message {tag!r} out of place or not whole")
+                raise unexpected(tag, body, "out of place or not whole")
         self.parts += [HEAD.pack(tag, 4 + len(body)), bytes(body)]
 
 
--- /dev/null
+++ b/tests/second_answer_rig.py
@@ -0,0 +1,68 @@
+"""Nodes that answer twice, for the tests of second answers."""
+
+from brookreach import interface as ifc
+from brookreach.net import pgwire
+from brookreach.simulation.stand_ins import ROW
+
+from .peers_nodes import FAILED, FULL, row
+
+OK, ERROR, FULL_ENDING, TIMEOUT, RESET = (
+    ifc.Ending.OK,
+    ifc.Ending.ERROR,
+    ifc.Ending.FULL,
+    ifc.Ending.TIMEOUT,
+    ifc.Ending.RESET,
+)
+COPIES = {
+    "the same bytes": row(b"1"),
+    "another value": row(b"another"),
+    "an error": FAILED,
+    "a refusal": FULL,
+    "a row behind an error": FAILED + row(b"1"),
+    "not its end": b"".join(ROW),
+    "only its end": pgwire.READY,
+    "a fatal error": pgwire.error(b"XX000", "no", ready=False),
+}
+
+ENDS = pgwire.fatal(b"57P01", "terminating connection", ready=False)
+
+
+def value(outcome):
+    """What a pick was served with; None where it was not."""
+    if outcome.ending != OK:
+        return None
+    data = b"".join(bytes(part) for part in outcome.answer)
+    return data[data.index(b"D") + 11 : data.index(b"C", data.index(b"D"))]
+
+
+class SuppressBroken:
+    def __enter__(self):
+        return self
+
+    def __exit__(self, kind, error, trace):
+        return kind is not None and issubclass(kind, (BrokenPipeError, ConnectionResetError))
+
+
+def second_query(rig, wait_ms=500.0):
+    """A connection with one answer on it, and the next query; its node."""
+    rig.pick(1)
+    node = rig.peer.taken_one()
+    node.asked()
+    node.reply(row(b"1"))
+    rig.ending(1)
+    rig.until(lambda: rig.idle() == 1)
+    rig.pick(2, wait_ms=wait_ms)
+    node.asked(2)
+    return node
+
+
+def used_once(case, rig, rpcs):
+    """Each further pick goes over a connection of its own."""
+    for rpc in rpcs:
+        rig.pick(rpc)
+        node = rig.peer.taken_one()
+        node.asked()
+        case.assertEqual(len(node.statements()), 1)
+        node.reply(row(b"%d" % rpc))
+        case.assertEqual(rig.ending(rpc), OK)
+        rig.until(lambda: rig.nodes.links == 0)
--- /dev/null
+++ b/tests/test_fence.py
@@ -0,0 +1,221 @@
+"""The fence behind a further query: what its replies prove, and what a node that answers twice is told to be.
+
+The story is told in `test_second_answer_kinds`.
+"""
+
+import unittest
+from contextlib import closing
+
+from brookreach import interface as ifc
+from brookreach.net import pgwire
+
+from .peers_nodes import Rig, row
+from .second_answer_rig import ENDS, OK, RESET, SuppressBroken, second_query, used_once, value
+
+
+class FenceTest(unittest.TestCase):
+    """The replies of the fence alone are late, missing, doubled or early."""
+
+    def test_a_first_query_has_none(self):
+        with closing(Rig()) as rig:
+            rig.pick(1)
+            node = rig.peer.taken_one()
+            node.asked()
+            node.send(row(b"1"))
+            self.assertEqual((rig.ending(1), len(node.statements())), (OK, 1))
+
+    def test_late_it_is_waited_for(self):
+        with closing(Rig()) as rig:
+            node = second_query(rig)
+            node.send(row(b"2"))
+            rig.until(lambda: rig.nodes.settling)
+            self.assertNotIn((2, 0), rig.ended)
+            for reply in node.harmless_replies():
+                self.assertNotIn((2, 0), rig.ended)
+                node.send(reply)
+                rig.turn()
+            self.assertEqual((rig.ending(2), value(rig.ended[2, 0])), (OK, b"2"))
+
+    def test_missing_the_pick_may_have_run_and_the_next_has_a_connection_of_its_own(self):
+        with closing(Rig(dial_s=0.05)) as rig:
+            node = second_query(rig)
+            node.send(row(b"2"))
+            rig.until(lambda: rig.nodes.sweep() or (2, 0) in rig.ended)
+            self.assertEqual(rig.ending(2), RESET)
+            node.left()
+            used_once(self, rig, [3, 4])
+
+    def test_before_the_answer_it_proves_nothing(self):
+        with closing(Rig()) as rig:
+            node = second_query(rig)
+            node.send(b"".join(node.harmless_replies()))
+            self.assertEqual(rig.ending(2), RESET)
+            node.left()
+            used_once(self, rig, [3, 4])
+
+    def test_twice(self):
+        with closing(Rig()) as rig:
+            node = second_query(rig)
+            replies = b"".join(node.harmless_replies())
+            node.send(row(b"2") + replies + replies)
+            self.assertEqual((rig.ending(2), value(rig.ended[2, 0])), (OK, b"2"))
+            node.left()
+
+    def test_another_reply_than_the_querys_proves_nothing(self):
+        for other in (pgwire.EMPTY, pgwire.DONE):
+            with closing(Rig()) as rig:
+                node = second_query(rig)
+                first = node.harmless_replies()[0]
+                if other != first:
+                    node.send(row(b"2") + other)
+                    self.assertEqual(rig.ending(2), RESET)
+
+    def test_no_two_fences_of_a_connection_are_alike(self):
+        with closing(Rig()) as rig:
+            rig.pick(1)
+            node, fences, rpc = rig.peer.taken_one(), [], 1
+            node.asked()
+            while True:
+                before = len(node.statements())
+                node.reply(row(b"%d" % rpc))
+                rig.ending(rpc)
+                rpc += 1
+                rig.pick(rpc)
+                rig.until(lambda before=before: len(node.statements()) > before or rig.peer.came() is not None)
+                if len(rig.peer.taken) > 1:
+                    break
+                node.asked(rpc)
+                rig.until(lambda before=before: len(node.statements()) > before + 1)
+                fences.append(tuple(node.statements()[before + 1 :]))
+            self.assertEqual(len(set(fences)), len(fences))
+            self.assertGreater(len(fences), 4)  # a connection costs a node work: it is used more than a few times
+            self.assertEqual(len({len(fence) for fence in fences}), 1)
+
+
+class ToldTest(unittest.TestCase):
+    """A node that was seen to answer twice is told in the log and counted, and its connections are used once."""
+
+    def seen(self, rig):
+        return rig.nodes.table.second_answers, [line for line in rig.report.lines if "answers twice" in line]
+
+    def test_before_the_next_answer(self):
+        with closing(Rig()) as rig:
+            node = second_query(rig)
+            with SuppressBroken():
+                node.send(row(b"1"))
+                node.reply(row(b"2"))
+            self.assertEqual(rig.ending(2), RESET)
+            count, lines = self.seen(rig)
+            self.assertEqual((count, len(lines)), (1, 1))
+            used_once(self, rig, [3, 4])
+
+    def test_on_an_idle_connection(self):
+        with closing(Rig()) as rig:
+            rig.pick(1)
+            node = rig.peer.taken_one()
+            node.asked()
+            node.reply(row(b"1"))
+            rig.until(lambda: rig.idle() == 1)
+            node.send(row(b"1"))
+            rig.until(lambda: rig.nodes.links == 0)
+            self.assertEqual(self.seen(rig)[0], 1)
+            used_once(self, rig, [2, 3])
+
+    def test_for_a_while(self):
+        with closing(Rig(single_use_s=0.0)) as rig:
+            node = second_query(rig)
+            with SuppressBroken():
+                node.send(row(b"1"))
+                node.reply(row(b"2"))
+            self.assertEqual(rig.ending(2), RESET)
+            rig.pick(3)
+            node = rig.peer.taken_one()
+            node.asked()
+            node.reply(row(b"3"))
+            rig.until(lambda: rig.idle() == 1)
+
+    def test_an_end_that_is_told_is_no_second_answer(self):
+        """A server that shuts down says so on its idle connections, or in place of what it answers no more."""
+        for used in (1, 2):
+            with closing(Rig()) as rig:
+                node = second_query(rig)
+                if used == 1:
+                    node.reply(row(b"2"))
+                    rig.until(lambda rig=rig: rig.idle() == 1)
+                    node.send(ENDS)
+                else:
+                    node.send(row(b"2") + ENDS)
+                    self.assertEqual(rig.ending(2), RESET)
+                rig.until(lambda rig=rig: rig.nodes.links == 0)
+                self.assertEqual(self.seen(rig), (0, []))
+                self.assertEqual([line for line in rig.report.lines if "in order" in line], [])
+
+    def test_another_process_at_the_address_is_another_node(self):
+        with closing(Rig()) as rig:
+            node = second_query(rig)
+            with SuppressBroken():
+                node.send(row(b"1"))
+                node.reply(row(b"2"))
+            self.assertEqual(rig.ending(2), RESET)
+            rig.nodes.listing(ifc.ListKind.DELTA, [rig.peer.listed(started=1.0)])
+            rig.pick(3)
+            node = rig.peer.taken_one()
+            node.asked()
+            node.reply(row(b"3"))
+            rig.until(lambda: rig.idle() == 1)
+
+
+class WrittenTest(unittest.TestCase):
+    """A query is written once its own last byte is; what is left of its fence changes nothing."""
+
+    def broken_after(self, rig, taken):
+        """The second query's connection breaks when the kernel has taken so many bytes of query and fence."""
+        rig.pick(1)
+        node = rig.peer.taken_one()
+        node.asked()
+        node.reply(row(b"1"))
+        rig.until(lambda: rig.idle() == 1)
+        link = rig.link()
+        link.sock = Breaking(link.sock, taken)
+        rig.pick(2, write=True)
+        return rig.ending(2)
+
+    def test_a_connection_that_breaks_in_the_query_and_in_its_fence(self):
+        with closing(Rig()) as rig:
+            whole = len(self.query_bytes(rig))
+        for taken, ending in (
+            (0, ifc.Ending.NO_CONNECT),
+            (whole - 1, ifc.Ending.NO_CONNECT),
+            (whole, RESET),
+            (whole + 3, RESET),
+        ):
+            with closing(Rig()) as rig:
+                self.assertEqual((taken, self.broken_after(rig, taken)), (taken, ending))
+
+    def query_bytes(self, rig):
+        """The bytes of the second query: each wait that is told has four digits."""
+        rig.pick(2, write=True)
+        node = rig.peer.taken_one()
+        node.asked()
+        return node.data
+
+
+class Breaking:
+    """A socket that takes so many bytes and then is broken."""
+
+    def __init__(self, sock, left):
+        self.sock, self.left = sock, left
+
+    def sendmsg(self, buffers):
+        data = b"".join(bytes(one) for one in buffers)[: self.left]
+        if not data:
+            raise BrokenPipeError(32, "broken")
+        self.left -= len(data)
+        return self.sock.send(data)
+
+    def __getattr__(self, name):
+        return getattr(self.sock, name)
+
+
+if __name__ == "__main__":
+    unittest.main()
