--- a/brookreach/net/fence.py
+++ b/brookreach/net/fence.py
@@ -16,7 +16,7 @@
 COUNT = 2**LETTERS  # fences that differ: the further queries of one connection
 # Two harmless queries whose replies can be told apart: by the tag of the reply's first message.
 QUERIES = (b"".join(pgwire.query(b"")), b"".join(pgwire.query(b"SET application_name TO DEFAULT")))
-REPLY_TAGS = pgwire.HARMLESS_REPLY_TAGS
+REPLY_TAGS: tuple[bytes, bytes] = pgwire.HARMLESS_REPLY_TAGS
 
 
 class Fence:
--- a/brookreach/net/pgwire.py
+++ b/brookreach/net/pgwire.py
@@ -13,6 +13,8 @@
 STARTUP, CANCEL, SSL, GSSENC = 196608, 80877102, 80877103, 80877104
 PUSHED_BACK, NOT_READY = b"53300", b"57P03"  # both tell the other side that nothing ran
 
+HARMLESS_REPLY_TAGS: tuple[bytes, bytes] = (b"I", b"C")  # of an empty query; of a command that does nothing
+
 
 class BrokenStream(Exception):
     """The bytes are not the protocol; nothing more can be read from this connection."""
@@ -171,9 +173,6 @@
     return tag == b"T" or (tag == b"E" and not ends_connection(body))
 
 
-HARMLESS_REPLY_TAGS = (b"I", b"C")  # of an empty query; of a command that does nothing
-
-
 def unexpected(tag: bytes, body: memoryview, why: str) -> BrokenStream:
     """Return the error for a message that does not belong where it stands."""
     if tag == b"E" and ends_connection(body):
