--- a/tests/peers_clients.py
+++ b/tests/peers_clients.py
@@ -206,3 +206,11 @@
         self.addCleanup(port.close)
         self.addCleanup(lambda: self.assertEqual(port.faults, []))
         return port
+
+    def full_port(self, **limits):
+        """A house of one, whose only client waits for its answer."""
+        port = self.port(clients=1, **limits)
+        peer = port.ready_peer()
+        peer.send(query(1))
+        port.until(lambda: port.desk.taken)
+        return port
--- a/tests/peers_front.py
+++ b/tests/peers_front.py
@@ -8,8 +8,9 @@
 from brookreach.net.clients import Clients
 
 from .helpers import ONCE, Heard, method
+from .node_messages import INSERTED, SELECTED, asks
 from .peers_clients import LIMITS, Peer
-from .peers_nodes import INSERTED, SELECTED, Whole, asks
+from .peers_nodes import Whole
 
 RELEASED = ifc.RolloutNews(False, ifc.Ending.OK, 2, 1.0, ifc.Phase.RELEASED, 0.0, 1)
 METHODS = (method(name="look"), method(ONCE, name="book"))
--- a/tests/second_answer_rig.py
+++ b/tests/second_answer_rig.py
@@ -4,7 +4,7 @@
 from brookreach.net import pgwire
 from brookreach.simulation.stand_ins import ROW
 
-from .peers_nodes import FAILED, FULL, row
+from .node_messages import FAILED, FULL, row
 
 OK, ERROR, FULL_ENDING, TIMEOUT, RESET = (
     ifc.Ending.OK,
--- a/tests/test_endings_links.py
+++ b/tests/test_endings_links.py
@@ -9,7 +9,8 @@
 from brookreach import interface as ifc
 
 from .helpers import ONCE, method
-from .peers_nodes import SELECTED, Answered, Rig, Whole, asked
+from .node_messages import SELECTED, asked
+from .peers_nodes import Answered, Rig, Whole
 
 OK, MOOT, CANCELLED = ifc.Ending.OK, ifc.Ending.MOOT, ifc.Ending.CANCELLED
 RELEASED = ifc.RolloutNews(False, OK, 2, 1.0, ifc.Phase.RELEASED, 0.0, 1)
--- a/tests/test_endings_nodes.py
+++ b/tests/test_endings_nodes.py
@@ -9,7 +9,8 @@
 from brookreach.simulation.stand_ins import ROW
 
 from .helpers import ONCE, method
-from .peers_nodes import FAILED, FULL, INSERTED, SELECTED, Peer, Rig, Whole
+from .node_messages import FAILED, FULL, INSERTED, SELECTED
+from .peers_nodes import Peer, Rig, Whole
 from .test_endings_picks import RELEASED, connected
 
 OK, ERROR, PUSHED, TIMEOUT, NO_CONNECT, RESET, _, _ = ifc.Ending
--- a/tests/test_endings_nodes_bytes.py
+++ b/tests/test_endings_nodes_bytes.py
@@ -6,7 +6,8 @@
 from brookreach import interface as ifc
 from brookreach.net import pgwire
 
-from .peers_nodes import Rig, row
+from .node_messages import row
+from .peers_nodes import Rig
 
 OK, ERROR, PUSHED, TIMEOUT, NO_CONNECT, RESET, _, _ = ifc.Ending
 
--- a/tests/test_endings_picks.py
+++ b/tests/test_endings_picks.py
@@ -11,7 +11,8 @@
 from brookreach.simulation.stand_ins import ROW
 
 from .helpers import ONCE, TOKEN, method
-from .peers_nodes import FULL, INSERTED, SELECTED, Rig, Whole, row
+from .node_messages import FULL, INSERTED, SELECTED, row
+from .peers_nodes import Rig, Whole
 
 RELEASED = ifc.RolloutNews(False, ifc.Ending.OK, 2, 1.0, ifc.Phase.RELEASED, 0.0, 1)
 
--- a/tests/test_fatal_errors.py
+++ b/tests/test_fatal_errors.py
@@ -31,14 +31,6 @@
         self.assertEqual(severities(messages[0][1]), [b"FATAL", b"FATAL"])
         self.assertIn(b"\0C" + state + b"\0", messages[0][1])
 
-    def full_port(self, **limits):
-        """A house of one, whose only client waits for its answer."""
-        port = self.port(clients=1, **limits)
-        peer = port.ready_peer()
-        peer.send(query(1))
-        port.until(lambda: port.desk.taken)
-        return port
-
     def test_without_room_at_the_door(self):
         port = self.full_port()
         for data in (b"", HELLO, HELLO + query(2)):
--- a/tests/test_fence.py
+++ b/tests/test_fence.py
@@ -9,7 +9,8 @@
 from brookreach import interface as ifc
 from brookreach.net import pgwire
 
-from .peers_nodes import Rig, row
+from .node_messages import row
+from .peers_nodes import Rig
 from .second_answer_rig import ENDS, OK, RESET, SuppressBroken, second_query, used_once, value
 
 
--- a/tests/test_left_picks.py
+++ b/tests/test_left_picks.py
@@ -9,7 +9,8 @@
 from brookreach.desk import RPC_COPY
 
 from .helpers import IDEM, method
-from .peers_nodes import SELECTED, Whole
+from .node_messages import SELECTED
+from .peers_nodes import Whole
 
 RELEASED = ifc.RolloutNews(True, ifc.Ending.OK, 0, 1.0, ifc.Phase.RELEASED, 0.0, 1)
 SOFT_MS = 12_000.0  # a quarter of it passes before the second copy, so the first is out by then on any machine
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -28,14 +28,6 @@
 
 
 class RefusalTest(PortCase):
-    def full_port(self, **limits):
-        """A house of one, whose only client waits for its answer."""
-        port = self.port(clients=1, **limits)
-        peer = port.ready_peer()
-        peer.send(query(1))
-        port.until(lambda: port.desk.taken)
-        return port
-
     def test_more_than_are_told_at_a_time(self):
         port = self.full_port(refusals=2)
         peers = [port.peer(HELLO + query(number)) for number in range(2, 42)]
--- a/tests/test_second_answer.py
+++ b/tests/test_second_answer.py
@@ -8,7 +8,8 @@
 import time
 import unittest
 
-from .peers_nodes import Rig, row
+from .node_messages import row
+from .peers_nodes import Rig
 
 REST_MS = 30.0  # as the decisions ask for
 
--- a/tests/test_second_answer_kinds.py
+++ b/tests/test_second_answer_kinds.py
@@ -17,7 +17,8 @@
 from brookreach import interface as ifc
 from brookreach.net import pgwire
 
-from .peers_nodes import FAILED, FULL, Rig, row
+from .node_messages import FAILED, FULL, row
+from .peers_nodes import Rig
 from .second_answer_rig import (
     COPIES,
     ERROR,
