--- a/review/common/bench.py
+++ b/review/common/bench.py
@@ -391,7 +391,7 @@
         while (await read_message(self.reader))[0] != b"Z":
             pass
 
-    async def ask(self, name: str, method: str, wait_ms: float, is_write: bool, code: str = "") -> str:
+    async def ask(self, name: str, method: str, wait_ms: float, is_write: bool, code: str = "", timeout_s: float = 0.0) -> str:
         """Ask, and return the answer's SQLSTATE, `ok`, or `given up` after the time, when the connection is closed."""
         comment = f"/* id={name},c={method},d={wait_ms:.0f} */"
         if is_write:
@@ -402,7 +402,7 @@
         self.sent_at = now()
         self.record.line(f"client: {method} {name}, d={wait_ms:.0f}, to {self.balancer.name}")
         try:
-            answer = await asyncio.wait_for(self.read_answer(), wait_ms / 1000.0)
+            answer = await asyncio.wait_for(self.read_answer(), timeout_s or wait_ms / 1000.0)
         except (TimeoutError, OSError, EOFError) as error:
             answer = "given up" if isinstance(error, TimeoutError) else f"ended: {type(error).__name__}"
             self.close()
