--- a/review/9/case.py
+++ b/review/9/case.py
@@ -10,11 +10,11 @@
 
 BAD_CLIENTS, PROCESSES = 480, 2
 GRACE_S = 0.25 + 0.05  # every time limit on sockets is 50 ms longer
-DRAINS = 4
+DRAINS = 8
 
 
 async def case(rig: stand_ins.Rig) -> int:
-    await rig.add_nodes(6, 7, 0.02)
+    await rig.add_nodes(12, 7, 0.02)
     await rig.start()
     stopping = asyncio.Event()
     answers: dict[str, int] = {}
@@ -44,7 +44,7 @@
     await asyncio.sleep(4.0)
     for number in range(DRAINS):
         rig.discovery.change(rig.nodes[f"s-{number}"], "leaving")
-        await asyncio.sleep(2.0)
+        await asyncio.sleep(1.2)
     stopping.set()
     await asyncio.wait(clients, timeout=5)
     told = {number: rig.discovery.told.get(f"s-{number} leaving") for number in range(DRAINS)}
