--- a/review/8/case.py
+++ b/review/8/case.py
@@ -28,6 +28,7 @@
         while not stopping.is_set():
             request_id, statement = rig.statement("posti", 1500)
             connection.send(statement)
+            rig.record(f"client of {rig.process.pid} sends {request_id}")
             answer = await connection.answer()
             rig.record(f"client of {rig.process.pid} hears {request_id} {answer.word} {answer.code}")
             if answer.word == "closed":
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -25,6 +25,7 @@
         while not stopping.is_set():
             request_id, statement = rig.statement("posti", 3000)
             connection.send(statement)
+            rig.record(f"client sends {request_id}")
             answer = await connection.answer()
             rig.record(f"client hears {request_id} {answer.word} {answer.code}")
             answers[answer.word] = answers.get(answer.word, 0) + 1
@@ -37,7 +38,7 @@
     clients = [asyncio.create_task(client()) for _ in range(40)]
     await asyncio.sleep(2.0)
     if stand_ins.trouble():
-        rig.record(f"{BAD_CLIENTS} bad clients begin")
+        rig.record(f"{BAD_CLIENTS} bad clients begin, 300 commands at once each")
         program = str(FOLDER.parent / "common-2" / "bad_clients.py")
         for _ in range(PROCESSES):
             rig.helper(program, str(rig.listen_port), str(BAD_CLIENTS // PROCESSES), "14")
