--- a/brookreach/net/driver.py
+++ b/brookreach/net/driver.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 import traceback
 from collections.abc import Callable
@@ -14,38 +15,26 @@
 
 from brookreach import interface as ifc
 from brookreach.net import pgwire
-from brookreach.net.answers import ABORTED, PendingAnswer, push_back_response
+from brookreach.net.answers import ABORTED, push_back_response
 from brookreach.net.clock import Clock
 from brookreach.net.drain import Drain
 from brookreach.net.endpoint import ListedNode
-from brookreach.net.event_queue import EventQueue
 from brookreach.net.in_flight import PickResult
 from brookreach.net.limits import Limits
-from brookreach.net.nodes import NodeConnectionPool
-from brookreach.net.open_rpcs import OpenRpc, OpenRpcs
 from brookreach.net.poller import Expirable, Poller
 from brookreach.net.report import Report
-from brookreach.net.statement import InvalidStatementError, Statement
+from brookreach.net.rpc_intake import RpcIntake
 from brookreach.policy.balancer import Balancer
 
 
-class Driver(EventQueue):
+class Driver(RpcIntake):
     """Passes events to the balancer and its actions to the network side."""
 
     def __init__(
         self, settings: ifc.BalancerSettings, limits: Limits, report: Report, clock: Clock, poller: Poller, drain: Drain
     ) -> None:
-        super().__init__(clock)
-        self.settings = settings
-        self.limits = limits
-        self.report = report
-        self.methods = {method.name.encode(): index for index, method in enumerate(settings.methods)}
-        self.drain = drain
-        self.rpc_count = 0
-        self.open_rpcs = OpenRpcs()
+        super().__init__(settings, limits, report, clock, poller, drain)
         self.rollout_status: ifc.RolloutStatus | None = None
-        self.poller = poller
-        self.nodes = NodeConnectionPool(limits, report, poller, self)
         self.vote: Callable[[ifc.Vote], object] = self.defer_vote
         self.on_queue_empty: Callable[[], bool] | None = None  # returns whether there is more to do
         self.observer: Callable[[float, object], None] | None = None  # notified of events and actions
@@ -56,59 +45,6 @@
             ifc.RolloutStatus(True, ifc.Outcome.NO_CONNECT, vote.stage, 0.0, ifc.RolloutPhase.ON_TRIAL, 0.0, vote.build)
         )
 
-    def available_links(self) -> int:
-        """Return how many connections to nodes may still be made."""
-        return self.limits.max_links - self.nodes.connection_count
-
-    def receive(self, statement: Statement, answer: PendingAnswer, arrived_at: float) -> int:
-        """Hand an RPC to the balancer and return its id. Raises InvalidStatementError.
-
-        `arrived_at`, by the monotonic clock, is the earliest that its last byte may have arrived: the client has waited
-        since then.
-        """
-        method = self.methods.get(statement.method)
-        if method is None:
-            raise InvalidStatementError(b"22023", f"unknown class {statement.method!r}")
-        self.open_rpcs.add(self.rpc_count + 1, OpenRpc(statement, answer))
-        self.rpc_count += 1
-        self.enqueue(
-            ifc.RpcReceived(
-                self.rpc_count,
-                method,
-                tenant=0,
-                key=statement.key,
-                deadline_ms=self.clock.to_unix_ms(self.drain.answer_due(arrived_at + statement.wait_ms / 1000.0)),
-                cost_ms=statement.cost_ms,
-                is_retry=statement.is_retry,
-                is_write=statement.is_write,
-                unread_ms=1000.0 * (self.poller.events_since - arrived_at),
-            )
-        )
-        return self.rpc_count
-
-    def shorten_deadline(self, rpc_id: int, due: float) -> None:
-        """An answer after this RPC's is due at `due`, by the monotonic clock, so its own is as well."""
-        if rpc_id in self.open_rpcs:
-            self.enqueue(ifc.DeadlineShortened(rpc_id, self.clock.to_unix_ms(due)))
-
-    def shorten_all_deadlines(self) -> None:
-        """Make all open RPCs due by the drain's deadline; `receive` sees to later ones."""
-        for rpc_id in self.open_rpcs.ids():
-            self.shorten_deadline(rpc_id, self.drain.deadline)
-
-    def cancel(self, rpc_id: int, why: str) -> None:
-        """The RPC's connection has ended, for this reason: nobody is left to answer."""
-        rpc = self.open_rpcs.remove_departed(rpc_id)
-        if rpc is not None:
-            self.report.log("rpc", rpc.describe_unanswered(why))
-            for pick_index in range(rpc.picks):
-                self.nodes.on_client_gone(rpc_id, pick_index)
-            self.enqueue(ifc.RpcCancelled(rpc_id))
-
-    def is_open(self, rpc_id: int) -> bool:
-        """Return whether an RPC has no final answer yet, and its client is there."""
-        return rpc_id in self.open_rpcs
-
     def on_node_list(self, listing: ifc.NodeList, listed: list[ListedNode]) -> None:
         """Discovery lists nodes: all, or those that changed."""
         self.nodes.apply_node_list(listing.kind, listed)
@@ -123,21 +59,33 @@
     async def run(self) -> None:
         """Run until cancelled."""
         while True:
-            for _ in range(self.limits.turns_before_yield):
-                found = self.poller.poll()
-                if not self._work() and not found:
-                    break
-            else:
+            if self._take_turn():
                 await anyio.lowlevel.checkpoint()  # other tasks have their turn
-                continue
-            wait_s = max(0.0, (self.timers.next_due_ms() - self.clock.now_ms()) / 1000.0)
-            with anyio.move_on_after(wait_s) as self.wait_scope:
-                await self.poller.wait()
-            self.wait_scope = None
-            self.poller.polled_at = time.monotonic()  # what is found now has just arrived
-
-    def _work(self) -> bool:
-        """Handle a limited number of events and timers; return whether there were any."""
+            else:
+                await self._wait()
+
+    def _take_turn(self) -> bool:
+        """Handle sockets, events and timers for a limited time; return whether there may be more.
+
+        Lists of nodes and the platform's news are read by other tasks: how long they wait is bounded by this time.
+        """
+        ends_at = time.monotonic() + self.limits.turn_s
+        while True:
+            found = self.poller.poll()
+            if not self._work(ends_at) and not found:
+                return False
+            if time.monotonic() >= ends_at:
+                return True
+
+    async def _wait(self) -> None:
+        wait_s = max(0.0, (self.timers.next_due_ms() - self.clock.now_ms()) / 1000.0)
+        with anyio.move_on_after(wait_s) as self.wait_scope:
+            await self.poller.wait()
+        self.wait_scope = None
+        self.poller.polled_at = time.monotonic()  # what is found now has just arrived
+
+    def _work(self, ends_at: float = math.inf) -> bool:
+        """Handle a limited number of events and timers until `ends_at`; return whether there were any."""
         has_worked = False
         for _ in range(self.limits.events_per_turn):
             if not self._handle_next():
@@ -145,26 +93,37 @@
                 if not self.queue:
                     return has_worked or has_more
             has_worked = True
+            if time.monotonic() >= ends_at:
+                break
         return True
 
     def _handle_next(self) -> bool:
-        """Handle one event, and one timer so that a burst of events starves none; return whether there was any."""
-        now, has_worked = self.clock.now_ms(), False
-        if self.timers.next_due_ms() <= now:
-            target = self.timers.pop()
-            if isinstance(target, Expirable):
-                try:
-                    target.expire()
-                except Exception:  # a defect must cost only the timeout that met it
-                    self.report.log("fault", traceback.format_exc(limit=-2))
-            else:
-                self._handle(now, ifc.TimerFired(target))
-            has_worked = True
-        if self.queue:
-            event = self.queue.popleft()
-            self._handle(self.clock.now_ms(), self._pick_ended(event) if isinstance(event, PickResult) else event)
-            has_worked = True
-        return has_worked
+        """Handle the next event, timer or new RPC, in the order of `EventQueue`; return whether there was any."""
+        event = self.queue.next_event()
+        now = self.clock.now_ms()
+        if event is not None:
+            self._handle(now, self._pick_ended(event) if isinstance(event, PickResult) else event)
+        elif self.timers.next_due_ms() <= now:
+            self._fire(now, self.timers.pop())
+        else:
+            rpc_id = self.queue.next_rpc()
+            if rpc_id is None:
+                return False
+            rpc = self.open_rpcs.get(rpc_id)
+            received = rpc.take_received() if rpc is not None else None
+            if received is not None:  # else its client has left, and nothing may be begun for it
+                self._handle(now, received)
+        return True
+
+    def _fire(self, now: float, target: int | Expirable) -> None:
+        """Handle a timer that is due."""
+        if not isinstance(target, Expirable):
+            self._handle(now, ifc.TimerFired(target))
+            return
+        try:
+            target.expire()
+        except Exception:  # a defect must cost only the timeout that met it
+            self.report.log("fault", traceback.format_exc(limit=-2))
 
     def _pick_ended(self, pick: PickResult) -> ifc.PickEnded:
         """Send the first OK to the client at once, and tell the balancer whether the RPC is answered."""
--- a/brookreach/net/limits.py
+++ b/brookreach/net/limits.py
@@ -79,11 +79,10 @@
     feed_silence_timeout_s: float = 3.5  # a feed without a sign of life for so long is opened again
     # Logging.
     log_lines_per_s: int = 20  # of each kind of line
-    # In one turn: sockets handled before the balancer's events, and events before the sockets again. An RPC brings
-    # three events. Long turns delay the news of drains.
+    # Sockets handled before the balancer's events, and events before the sockets again. An RPC brings three events.
     sockets_per_turn: int = 64
     events_per_turn: int = 256
-    turns_before_yield: int = 2  # of both, before other tasks run
+    turn_s: float = 0.005  # of both, before other tasks run: reading a list of nodes takes several of their turns
     gc_threshold: int = 20_000  # objects allocated between collections: RPCs leave no cycles behind
     sweep_interval_s: float = 0.25  # between searches for what has been idle or silent for long
 
--- a/brookreach/net/open_rpcs.py
+++ b/brookreach/net/open_rpcs.py
@@ -8,18 +8,29 @@
 
 from collections import Counter
 
+from brookreach import interface as ifc
 from brookreach.net.answers import ABORTED, PendingAnswer
 from brookreach.net.statement import InvalidStatementError, Statement
 
 
 class OpenRpc:
-    """An RPC that has no final answer yet, and how many picks it has had."""
+    """An RPC that has no final answer yet, and how many picks it has had.
 
-    def __init__(self, statement: Statement, answer: PendingAnswer) -> None:
+    `received` is the event that the balancer has not handled yet; None once it has.
+    """
+
+    def __init__(self, statement: Statement, answer: PendingAnswer, received: ifc.RpcReceived | None = None) -> None:
         self.statement = statement
         self.answer = answer
+        self.received = received
         self.picks = 0
 
+    def take_received(self) -> ifc.RpcReceived | None:
+        """Return the event for the balancer, once."""
+        received = self.received
+        self.received = None
+        return received
+
     def describe_unanswered(self, why: str) -> str:
         """Return the log line for an RPC that loses its connection."""
         return f"{self.statement.name.decode()}: no answer after {self.picks} picks, its connection ended: {why}"
--- a/brookreach/scale/marshal_lists.py
+++ b/brookreach/scale/marshal_lists.py
@@ -56,8 +56,7 @@
 
     def events(self) -> None:
         queue = self.runtime.driver.queue
-        while queue:
-            event = queue.popleft()
+        while (event := queue.next_event()) is not None:
             assert not isinstance(event, PickResult)  # no pick was carried out
             self.runtime.driver.balancer.handle(self.now, event)
 
--- a/tests/test_cancelled_rpcs.py
+++ b/tests/test_cancelled_rpcs.py
@@ -40,10 +40,25 @@
             rig.driver._handle_next()
         return rig, rpc, routed, connection
 
-    def test_a_hedged_pick_decided_after_the_client_has_left_ends_by_its_own_index(self):
+    def leave_at(self, rig, rpc, observed):
+        """The client leaves as the hedged pick is decided."""
+        if isinstance(observed, ifc.Pick):
+            rig.driver.cancel(rpc, "end of stream")
+
+    def test_no_hedged_pick_is_decided_once_the_client_has_left(self):
         rig, rpc, routed, connection = self.start_rig()
         with closing(rig):
             rig.driver.cancel(rpc, "end of stream")
+            connection.send(SELECTED)
+            rig.until(lambda: routed.picks[0][2] is not None)
+            self.assertEqual([pick[2] for pick in routed.picks], [ifc.Outcome.OK])
+            self.assertEqual(rig.answers, {})
+
+    def test_a_hedged_pick_decided_after_the_client_has_left_ends_by_its_own_index(self):
+        rig, rpc, routed, connection = self.start_rig()
+        with closing(rig):
+            # It leaves between the decision and its action: a client's end that is queued is heard before a timer.
+            rig.driver.observer = lambda _now, one: self.leave_at(rig, rpc, one)
             rig.until(lambda: len(routed.picks) == 2 and routed.picks[1][2] is not None)
             self.assertEqual([pick[2] for pick in routed.picks], [None, ifc.Outcome.MOOT])
             first, second = (routed.picks[at][0].node for at in (0, 1))
