--- a/brookreach/net/client.py
+++ b/brookreach/net/client.py
@@ -15,13 +15,14 @@
 from brookreach.net import pgwire
 from brookreach.net.answers import AnswerQueue, PendingAnswer
 from brookreach.net.handshake import startup_answer
+from brookreach.net.poller import ENDED
 from brookreach.net.statement import InvalidStatementError, harmless_response, parse_statement
 from brookreach.net.stream import Stream
+from brookreach.net.unsupported_messages import UnsupportedMessages
 
 if TYPE_CHECKING:
     from brookreach.net.clients import Clients
 
-EXTENDED_TAGS = (b"P", b"B", b"D", b"E", b"C", b"H")  # of the extended protocol, all but Sync
 DEFECT = "a defect of ours"
 
 
@@ -29,12 +30,13 @@
     """One client connection."""
 
     def __init__(self, sock: socket.socket, clients: Clients) -> None:
-        super().__init__(clients.poller, sock, pgwire.MessageBuffer(clients.limits.max_message_bytes, clients.pool))
+        inbound = pgwire.MessageBuffer(clients.limits.max_message_bytes, clients.pool)
+        super().__init__(clients.poller, sock, inbound, urgent_mask=ENDED)  # nothing may be begun for one that has left
         self.clients = clients
         self.answers = AnswerQueue(clients.limits)
         self.unread_since = math.inf  # since when bytes may lie unread for which there was no room or no turn
         self.started = False  # the startup message has come
-        self.skipping = False  # after an error in the extended protocol, until Sync
+        self.unsupported = UnsupportedMessages()
         self.leaving = False  # nothing more is read, and our side is ended once all is answered
         self.invalid_statements = 0
         self.heard_at = time.monotonic()
@@ -42,6 +44,12 @@
 
     # --- reading ---
 
+    def handle_events(self, mask: int) -> None:
+        """Handle the epoll events in `mask`; the end of the stream before what is unread, which nobody waits for."""
+        if mask & ENDED:
+            return self.end("end of stream")
+        return super().handle_events(mask)
+
     def on_data(self) -> None:
         """Handle the messages that have arrived."""
         self.heard_at = time.monotonic()
@@ -105,16 +113,8 @@
             self._handle_query(body)
         elif tag == b"X":
             self.close_after_answers("terminated")
-        elif tag == b"S":
-            self.skipping = False
-            self._answer_in_order(pgwire.READY_FOR_QUERY)
-        elif tag == b"F":
-            self._answer_in_order(pgwire.error_response(b"0A000", "no function calls"))
-        elif tag not in EXTENDED_TAGS:
-            raise pgwire.ProtocolViolationError(f"unknown message {tag!r}")
-        elif not self.skipping:
-            self.skipping = True
-            self._answer_in_order(pgwire.error_response(b"0A000", "simple queries only", ready=False))
+        elif (response := self.unsupported.answer(tag)) is not None:
+            self._answer_in_order(response)
 
     def _handle_query(self, body: memoryview) -> None:
         text = body[:-1] if len(body) and body[-1] == 0 else body
--- a/brookreach/net/clients.py
+++ b/brookreach/net/clients.py
@@ -7,7 +7,7 @@
 
 import socket
 import time
-from collections import Counter, OrderedDict
+from collections import Counter, OrderedDict, deque
 from enum import IntEnum
 from itertools import islice
 
@@ -59,7 +59,7 @@
         self.stalled: OrderedDict[Client, float] = OrderedDict()
         self.close_counts: Counter[str] = Counter()  # connections that have ended, by reason
         self.pool = pgwire.BufferPool(limits.large_message_bytes)
-        self.resumable: list[Client] = []  # may have received RPCs that were not handled yet
+        self.resumable: deque[Client] = deque()  # may have received RPCs that were not handled yet
         self.refusals = RefusedConnections(limits, poller, self.pool, self.resume_accepting, receiver.available_links)
         self.phase = ShutdownPhase.NONE
         self.is_paused = False  # until its timeout, or until a connection has ended, nothing is accepted
@@ -191,9 +191,9 @@
                 client.end("idle")
 
     def resume_reading(self) -> bool:
-        """Handle what arrived while its connection had enough under way; return whether some have still more."""
-        resumable, self.resumable = self.resumable, []
-        for client in resumable:
+        """Handle what arrived while some connections had enough under way; return whether some have still more."""
+        for _ in range(min(self.limits.sockets_per_poll, len(self.resumable))):
+            client = self.resumable.popleft()
             if not client.closed and not client.leaving:
                 client.reading = True
                 client.update_interest()
--- a/brookreach/net/driver.py
+++ b/brookreach/net/driver.py
@@ -71,7 +71,8 @@
         """
         ends_at = time.monotonic() + self.limits.turn_s
         while True:
-            found = self.poller.poll()
+            # While RPCs wait to be decided on, no more are read.
+            found = self.poller.poll_urgent() if self.queue else self.poller.poll()
             if not self._work(ends_at) and not found:
                 return False
             if time.monotonic() >= ends_at:
--- a/brookreach/net/limits.py
+++ b/brookreach/net/limits.py
@@ -80,7 +80,8 @@
     # Logging.
     log_lines_per_s: int = 20  # of each kind of line
     # Sockets handled before the balancer's events, and events before the sockets again. An RPC brings three events.
-    sockets_per_turn: int = 64
+    sockets_per_poll: int = 16
+    sockets_per_turn: int = 64  # accepted at a time, or read of one connection at its end
     events_per_turn: int = 256
     turn_s: float = 0.005  # of both, before other tasks run: reading a list of nodes takes several of their turns
     gc_threshold: int = 20_000  # objects allocated between collections: RPCs leave no cycles behind
--- a/brookreach/net/poller.py
+++ b/brookreach/net/poller.py
@@ -17,7 +17,9 @@
 IN = select.EPOLLIN
 OUT = select.EPOLLOUT
 RDHUP = select.EPOLLRDHUP
+ALWAYS_REPORTED = select.EPOLLHUP | select.EPOLLERR
 ENDED = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR  # the other side sends no more
+ANY_EVENT = IN | OUT | ENDED
 WAIT_RETRY_S = 0.005
 
 
@@ -30,13 +32,17 @@
 
 
 class PolledSocket(Expirable):
-    """A socket that is registered with the poller."""
+    """A socket that is registered with the poller.
 
-    def __init__(self, poller: Poller, sock: socket.socket) -> None:
+    `urgent_mask` are the epoll events that are handled as they are found, before sockets that wait for their turn.
+    """
+
+    def __init__(self, poller: Poller, sock: socket.socket, urgent_mask: int = 0) -> None:
         sock.setblocking(False)
         self.poller = poller
         self.sock = sock
         self.fd = sock.fileno()
+        self.urgent_mask = urgent_mask
         self.closed = False
 
     def handle_events(self, mask: int) -> None:
@@ -54,22 +60,40 @@
             self.sock.close()
 
 
+class ReadySocket:
+    """What was found ready on a socket that waits for its turn.
+
+    Args:
+        mask: The epoll events.
+        since: When the poll before the one that found them was, by the monotonic clock: they occurred after it.
+    """
+
+    def __init__(self, mask: int, since: float) -> None:
+        self.mask = mask
+        self.since = since
+
+
 class Poller:
-    """The epoll. Events that one poll finds occurred after `events_since` (seconds of the monotonic clock).
+    """The epoll, and the sockets that were found ready and wait for their turn, the longest waiting first.
+
+    Each poll asks for all sockets that are ready, handles the urgent ones, and some of those that wait. So the end of a
+    client's connection or a node's answer does not wait behind the requests of a crowd. What is being handled occurred
+    after `events_since` (seconds of the monotonic clock), however long its socket has waited.
 
     The kernel may refuse a change of registration for a moment (ENOMEM, ENOSPC): it is repeated at a later poll, so
     that no connection fails because of it.
 
     Args:
-        max_events: Events handled in one poll.
+        max_sockets: Sockets handled in one poll besides the urgent ones.
         on_fault: Called with the traceback of a defect in a handler.
     """
 
-    def __init__(self, max_events: int, on_fault: Callable[[str], None]) -> None:
+    def __init__(self, max_sockets: int, on_fault: Callable[[str], None]) -> None:
         self.epoll = select.epoll()
-        self.max_events = max_events
+        self.max_sockets = max_sockets
         self.on_fault = on_fault
         self.watched: dict[int, PolledSocket] = {}
+        self.ready: dict[PolledSocket, ReadySocket] = {}  # in the order in which they are handled
         self.registered: set[int] = set()
         self.refused_masks: dict[int, int] = {}  # that the kernel has not taken yet, by descriptor
         self.events_since = self.polled_at = time.monotonic()
@@ -77,6 +101,9 @@
     def register(self, one: PolledSocket, mask: int) -> None:
         """Wait for the events in `mask` on this socket, in place of those registered before."""
         self.watched[one.fd] = one
+        waiting = self.ready.get(one)
+        if waiting is not None:  # it no longer waits for all that was found
+            waiting.mask &= mask | ALWAYS_REPORTED
         try:
             self._set_mask(one.fd, mask)
         except OSError:
@@ -93,7 +120,9 @@
 
     def unregister(self, fd: int) -> None:
         """Wait for no more events on this descriptor."""
-        self.watched.pop(fd, None)
+        one = self.watched.pop(fd, None)
+        if one is not None:
+            self.ready.pop(one, None)
         self.refused_masks.pop(fd, None)
         if fd in self.registered:
             self.registered.discard(fd)
@@ -114,20 +143,56 @@
             await anyio.sleep(WAIT_RETRY_S)
 
     def poll(self) -> int:
-        """Handle the sockets that are ready now; return how many there were."""
-        self.events_since, self.polled_at = self.polled_at, time.monotonic()
+        """Handle the urgent sockets that are ready now, and some of the others; return how many there were."""
+        count = self.poll_urgent()
+        for _ in range(min(self.max_sockets, len(self.ready))):
+            if not self.ready:  # a handler has closed the others
+                break
+            one = next(iter(self.ready))
+            waiting = self.ready.pop(one)
+            self._handle(one, waiting.mask, waiting.since)
+            count += 1
+        return count
+
+    def poll_urgent(self) -> int:
+        """Find what is ready now, and handle the urgent sockets; return how many there were."""
+        since, self.polled_at = self.polled_at, time.monotonic()
         if self.refused_masks:
-            for fd, mask in list(self.refused_masks.items()):
-                with contextlib.suppress(OSError):
-                    self._set_mask(fd, mask)
-        found = self.epoll.poll(0, self.max_events)
-        # A handler may close other sockets of this poll; a reused descriptor gets at worst a call for no event.
-        for fd, mask in found:
-            one = self.watched.get(fd)
-            if one is not None:
-                try:
-                    one.handle_events(mask)
-                except Exception:  # a defect must cost only the connection that met it
-                    self.on_fault(traceback.format_exc(limit=-2))
-                    one.on_defect()
-        return len(found)
+            self._retry_refused_masks()
+        found = self.epoll.poll(0, max(self.max_sockets, len(self.watched)))
+        # Sockets, not descriptors: a handler may close some of them, and their descriptors may be used again.
+        ready = [(self.watched[fd], mask) for fd, mask in found if fd in self.watched]
+        count = 0
+        for one, mask in ready:
+            if one.closed:
+                continue
+            if mask & one.urgent_mask:
+                self.ready.pop(one, None)
+                self._handle(one, mask, since)
+                count += 1
+            else:
+                self._add_ready(one, mask, since)
+        return count
+
+    def _add_ready(self, one: PolledSocket, mask: int, since: float) -> None:
+        """Let a socket wait for its turn; one that waits already keeps its place."""
+        waiting = self.ready.get(one)
+        if waiting is None:
+            self.ready[one] = ReadySocket(mask, since)
+        else:
+            waiting.mask |= mask
+
+    def _handle(self, one: PolledSocket, mask: int, since: float) -> None:
+        self.events_since = since
+        if not mask:  # what was found is not waited for any more
+            return
+        try:
+            one.handle_events(mask)
+        except Exception:  # a defect must cost only the connection that met it
+            self.on_fault(traceback.format_exc(limit=-2))
+            one.on_defect()
+
+    def _retry_refused_masks(self) -> None:
+        for fd, mask in list(self.refused_masks.items()):
+            with contextlib.suppress(OSError):
+                self._set_mask(fd, mask)
--- a/brookreach/net/rpc_intake.py
+++ b/brookreach/net/rpc_intake.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import time
 from dataclasses import replace
 
 from brookreach import interface as ifc
@@ -61,7 +62,7 @@
             cost_ms=statement.cost_ms,
             is_retry=statement.is_retry,
             is_write=statement.is_write,
-            unread_ms=1000.0 * (self.poller.events_since - arrived_at),
+            unread_ms=1000.0 * (time.monotonic() - arrived_at),
         )
         self.open_rpcs.add(rpc_id, OpenRpc(statement, answer, received))
         self.rpc_count = rpc_id
--- a/brookreach/net/runtime.py
+++ b/brookreach/net/runtime.py
@@ -62,7 +62,7 @@
             self.listen_address = top.text("listen")
             read_address(top, "listen")
             self.report = Report(name, self.limits.log_lines_per_s, lines(name) if lines else None)
-            self.poller = Poller(self.limits.sockets_per_turn, self.log_fault)
+            self.poller = Poller(self.limits.sockets_per_poll, self.log_fault)
             self.drain = Drain(self.limits)
             self.driver = Driver(balancer_settings, self.limits, self.report, Clock(), self.poller, self.drain)
             self.configuration = configuration
--- a/brookreach/net/stream.py
+++ b/brookreach/net/stream.py
@@ -34,8 +34,15 @@
     Subclasses implement `on_data` and `on_closed`, and may implement `on_connected` and `on_writable`.
     """
 
-    def __init__(self, poller: Poller, sock: socket.socket, inbound: MessageBuffer, connecting: bool = False) -> None:
-        super().__init__(poller, sock)
+    def __init__(
+        self,
+        poller: Poller,
+        sock: socket.socket,
+        inbound: MessageBuffer,
+        connecting: bool = False,
+        urgent_mask: int = 0,
+    ) -> None:
+        super().__init__(poller, sock, urgent_mask)
         with contextlib.suppress(OSError):  # the connection works without it, only slower
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.inbound = inbound
@@ -47,8 +54,8 @@
     def update_interest(self) -> None:
         """Tell the poller which events this socket waits for now."""
         out = OUT if self.unsent or self.connecting else 0
-        # Where nothing is read, unread bytes would hide the end of the stream: RDHUP reports it independently of them.
-        into = 0 if self.connecting else IN if self.reading else RDHUP
+        # Unread bytes would hide the end of the stream: RDHUP reports it independently of them.
+        into = 0 if self.connecting else IN | RDHUP if self.reading else RDHUP
         self.poller.register(self, out | into)
 
     def close(self) -> None:
