--- a/brookreach/events.py
+++ b/brookreach/events.py
@@ -61,6 +61,7 @@
         is_retry: Whether the client has sent it before.
         is_write: Whether it writes.
         unread_ms: How long it may have waited before it was read.
+        client_id: The id that its client gave it; empty where ids never come again.
     """
 
     rpc_id: int
@@ -72,6 +73,7 @@
     is_retry: bool
     is_write: bool
     unread_ms: float = 0.0
+    client_id: bytes = b""
 
 
 @dataclass(frozen=True, slots=True)
--- a/brookreach/net/rpc_intake.py
+++ b/brookreach/net/rpc_intake.py
@@ -63,6 +63,7 @@
             is_retry=statement.is_retry,
             is_write=statement.is_write,
             unread_ms=1000.0 * (time.monotonic() - arrived_at),
+            client_id=statement.name,
         )
         self.open_rpcs.add(rpc_id, OpenRpc(statement, answer, received))
         self.rpc_count = rpc_id
--- a/brookreach/policy/request_router.py
+++ b/brookreach/policy/request_router.py
@@ -23,6 +23,7 @@
 from brookreach.policy.actor import WorkQueue
 from brookreach.policy.canary_analysis import CanaryAnalysis
 from brookreach.policy.common import is_candidate, slow_start_factor
+from brookreach.policy.executed_ids import ExecutedIds
 from brookreach.policy.node_registry import (
     LOCAL_ZONE,
     OTHER_ZONES,
@@ -69,6 +70,7 @@
     Attributes:
         rpcs: RPCs without a final answer, and those with a pending pick.
         unanswered: The soft deadline (ms) of each RPC without a final answer, in the order of arrival.
+        executed_ids: Of RPCs that may have been executed and must not be executed again.
         hedge_budget: How many hedged picks may be sent now; it grows with each RPC.
         received: RPCs of the last second.
         timely_answers: In low-traffic mode, answers before their soft deadline.
@@ -86,6 +88,7 @@
         self.methods = settings.methods
         self.rpcs = dict[int, RoutedRpc]()
         self.unanswered = dict[int, float]()
+        self.executed_ids = ExecutedIds()
         self.hedge_budget = 1.0
         self.received = SlidingWindowSum(1000.0, 10)
         self.timely_answers = SlidingWindowSum(ANSWER_RATE_WINDOW_MS, 8)
@@ -102,6 +105,11 @@
         if rpc.cost_ms:
             average = self.typical_cost_ms.get(rpc.method, rpc.cost_ms)
             self.typical_cost_ms[rpc.method] = average + AVERAGE_WEIGHT * (rpc.cost_ms - average)
+        self.executed_ids.drop_expired(now)
+        if self.executed_ids.forbids(now, rpc):
+            self.actions.append(Abort(rpc.rpc_id))  # a push back would say that nothing ran
+            del self.rpcs[rpc.rpc_id]
+            return
         left_ms = max(0.0, rpc.deadline_ms - now - DEADLINE_MARGIN_MS)
         self.actions.append(SetTimer(left_ms, TIMER_KINDS * rpc.rpc_id + DEADLINE_TIMER))
         is_overload = (
@@ -154,11 +162,12 @@
             retry_after_ms < dedup_window_left_ms(rpc, now) and (method.repeat, method.group) in REPEATABLE
         )
         self.actions.append(PushBack(rpc.rpc_id, retry_after_ms) if is_repeatable else Abort(rpc.rpc_id))
-        self.finish(rpc)
+        self.finish(now, rpc)
 
-    def finish(self, rpc: RoutedRpc) -> None:
-        """Marks an RPC as done, and forgets it once no pick is pending."""
+    def finish(self, now: float, rpc: RoutedRpc, is_departed: bool = False) -> None:
+        """Marks an RPC as done, and forgets it once no pick is pending; its id, once it can't come again."""
         rpc.is_done = True
+        self.executed_ids.record_end(now, rpc, is_departed)
         self.unanswered.pop(rpc.rpc_id, None)
         if not rpc.has_pending_pick():
             self.rpcs.pop(rpc.rpc_id, None)
@@ -176,10 +185,10 @@
             self.hedge_budget -= 1.0
             self.send("request_offers", now, rpc)
 
-    def cancel_rpc(self, _now: float, event: RpcCancelled) -> None:
+    def cancel_rpc(self, now: float, event: RpcCancelled) -> None:
         """Handles a client that has left."""
         if event.rpc_id in self.rpcs:
-            self.finish(self.rpcs[event.rpc_id])
+            self.finish(now, self.rpcs[event.rpc_id], is_departed=True)
 
     def record_outcome(self, now: float, event: PickEnded) -> None:
         """Learns from a pick's outcome, and ends its RPC, tries another node or gives up."""
@@ -226,7 +235,7 @@
             self.received.total(now),
         )
         if event.is_final or rpc.is_done:
-            self.finish(rpc)
+            self.finish(now, rpc)
         elif not rpc.has_pending_pick():
             can_retry = (
                 now < rpc.deadline_ms - MIN_RETRY_MS
--- a/brookreach/policy/routed_rpc.py
+++ b/brookreach/policy/routed_rpc.py
@@ -31,6 +31,7 @@
         self.method_settings = method_settings
         self.cost_ms = event.cost_ms
         self.key = event.key
+        self.client_id = event.client_id
         self.deadline_ms = event.deadline_ms
         soft_ms = method_settings.soft_ms + method_settings.soft_stretch * (event.cost_ms or 0.0)
         self.soft_deadline_ms = min(now + min(soft_ms, method_settings.hard_ms), self.deadline_ms)
