--- a/brookreach/net/driver.py
+++ b/brookreach/net/driver.py
@@ -70,13 +70,20 @@
         Lists of nodes and the platform's news are read by other tasks: how long they wait is bounded by this time.
         """
         ends_at = time.monotonic() + self.limits.turn_s
-        while True:
-            # While RPCs wait to be decided on, no more are read.
-            found = self.poller.poll_urgent() if self.queue else self.poller.poll()
-            if not self._work(ends_at) and not found:
-                return False
+        self.timers.drop_settled(self._is_timer_needed)
+        while self.run_round(ends_at):
             if time.monotonic() >= ends_at:
                 return True
+        return False
+
+    def run_round(self, ends_at: float = math.inf) -> bool:
+        """Handle some sockets, then events and timers until `ends_at`; return whether there was anything to do."""
+        found = self.poller.poll_urgent()
+        has_more = False
+        if not self.queue:  # else RPCs wait to be decided on, and no more are read
+            has_more = self.on_queue_empty is not None and self.on_queue_empty()
+            found += self.poller.handle_waiting()
+        return self._work(ends_at) or has_more or found > 0
 
     async def _wait(self) -> None:
         wait_s = max(0.0, (self.timers.next_due_ms() - self.clock.now_ms()) / 1000.0)
@@ -87,17 +94,16 @@
 
     def _work(self, ends_at: float = math.inf) -> bool:
         """Handle a limited number of events and timers until `ends_at`; return whether there were any."""
-        has_worked = False
-        for _ in range(self.limits.events_per_turn):
+        for count in range(self.limits.events_per_turn):
             if not self._handle_next():
-                has_more = self.on_queue_empty is not None and self.on_queue_empty()
-                if not self.queue:
-                    return has_worked or has_more
-            has_worked = True
+                return count > 0
             if time.monotonic() >= ends_at:
                 break
         return True
 
+    def _is_timer_needed(self, target: int | Expirable) -> bool:
+        return not target.is_settled() if isinstance(target, Expirable) else self.balancer.needs_timer(target)
+
     def _handle_next(self) -> bool:
         """Handle the next event, timer or new RPC, in the order of `EventQueue`; return whether there was any."""
         event = self.queue.next_event()
--- a/brookreach/net/in_flight.py
+++ b/brookreach/net/in_flight.py
@@ -147,6 +147,10 @@
             self.transport.read_pending()  # in a long turn its answer may have arrived without being handled
         self.cancel(Outcome.TIMEOUT)
 
+    def is_settled(self) -> bool:
+        """Return whether it has its outcome."""
+        return self.is_finished
+
     def cancel(self, outcome: ifc.Outcome) -> None:
         """End it with `outcome`, or as never run if its last byte was not written; by timeout or by a decision."""
         if self.is_finished:
@@ -188,3 +192,7 @@
     def expire(self) -> None:
         """End the query if it is only partly written."""
         self.query.cancel_if_partly_written()
+
+    def is_settled(self) -> bool:
+        """Return whether the query has its outcome."""
+        return self.query.is_finished
--- a/brookreach/net/node_connection.py
+++ b/brookreach/net/node_connection.py
@@ -193,6 +193,10 @@
         if not self.closed and self.state in (CONNECTING, STARTING_UP):
             self._fail(Outcome.NO_CONNECT)
 
+    def is_settled(self) -> bool:
+        """Return whether it is established, or closed."""
+        return self.closed or self.state > STARTING_UP
+
     def on_closed(self, why: str) -> None:
         """End the connection, which the node has ended or broken, or on which it has broken the protocol."""
         is_written = self.is_written()
--- a/brookreach/net/poller.py
+++ b/brookreach/net/poller.py
@@ -30,6 +30,10 @@
         """The timeout has passed; also called if the matter was settled long before."""
         raise NotImplementedError
 
+    def is_settled(self) -> bool:
+        """Return whether `expire` would have no effect any more."""
+        return False
+
 
 class PolledSocket(Expirable):
     """A socket that is registered with the poller.
@@ -144,7 +148,11 @@
 
     def poll(self) -> int:
         """Handle the urgent sockets that are ready now, and some of the others; return how many there were."""
-        count = self.poll_urgent()
+        return self.poll_urgent() + self.handle_waiting()
+
+    def handle_waiting(self) -> int:
+        """Handle some of the sockets that wait; return how many there were."""
+        count = 0
         for _ in range(min(self.max_sockets, len(self.ready))):
             if not self.ready:  # a handler has closed the others
                 break
--- a/brookreach/policy/balancer.py
+++ b/brookreach/policy/balancer.py
@@ -66,6 +66,10 @@
         self.actions[:] = []
         return actions
 
+    def needs_timer(self, token: int) -> bool:
+        """Returns whether a timer may still have an effect: it is periodic, or its RPC is not done."""
+        return token % TIMER_KINDS == EVALUATION_TIMER or self.request_router.is_open(token // TIMER_KINDS)
+
     def handle(self, now: float, event: Event) -> list[Action]:
         """Handles one event."""
         match event:
--- a/brookreach/policy/request_router.py
+++ b/brookreach/policy/request_router.py
@@ -172,6 +172,10 @@
         if not rpc.has_pending_pick():
             self.rpcs.pop(rpc.rpc_id, None)
 
+    def is_open(self, rpc_id: int) -> bool:
+        """Returns whether an RPC has no final answer yet."""
+        return rpc_id in self.rpcs and not self.rpcs[rpc_id].is_done
+
     def handle_timer(self, now: float, rpc_id: int, kind: int) -> None:
         """Handles a timer of an RPC."""
         rpc = self.rpcs.get(rpc_id)
