--- a/brookreach/net/client.py
+++ b/brookreach/net/client.py
@@ -1,6 +1,6 @@
-"""One client connection: queries read as RPCs, each answered once and in order.
+"""One client connection: queries read as RPCs. Their answers are written by `client_writer`.
 
-This module owns what has been read of a connection and the order of the answers on it. It sends no answer that the
+This module owns what has been read of a connection. It sends no answer that the
 driver did not hand it, except to what can't be taken as an RPC; such an answer is never a push back.
 """
 
@@ -13,11 +13,11 @@
 from typing import TYPE_CHECKING
 
 from brookreach.net import pgwire
-from brookreach.net.answers import AnswerQueue, PendingAnswer
+from brookreach.net.answers import NO_ROOM, PendingAnswer
+from brookreach.net.client_writer import ClientWriter
 from brookreach.net.handshake import startup_answer
 from brookreach.net.poller import ENDED
 from brookreach.net.statement import InvalidStatementError, harmless_response, parse_statement
-from brookreach.net.stream import Stream
 from brookreach.net.unsupported_messages import UnsupportedMessages
 
 if TYPE_CHECKING:
@@ -26,18 +26,14 @@
 DEFECT = "a defect of ours"
 
 
-class Client(Stream):
+class Client(ClientWriter):
     """One client connection."""
 
     def __init__(self, sock: socket.socket, clients: Clients) -> None:
-        inbound = pgwire.MessageBuffer(clients.limits.max_message_bytes, clients.pool)
-        super().__init__(clients.poller, sock, inbound, urgent_mask=ENDED)  # nothing may be begun for one that has left
-        self.clients = clients
-        self.answers = AnswerQueue(clients.limits)
+        super().__init__(sock, clients)
         self.unread_since = math.inf  # since when bytes may lie unread for which there was no room or no turn
         self.started = False  # the startup message has come
         self.unsupported = UnsupportedMessages()
-        self.leaving = False  # nothing more is read, and our side is ended once all is answered
         self.invalid_statements = 0
         self.heard_at = time.monotonic()
         clients.silent[self] = self.heard_at
@@ -114,13 +110,16 @@
         elif tag == b"X":
             self.close_after_answers("terminated")
         elif (response := self.unsupported.answer(tag)) is not None:
-            self._answer_in_order(response)
+            self.answer_in_order(response)
 
     def _handle_query(self, body: memoryview) -> None:
         text = body[:-1] if len(body) and body[-1] == 0 else body
         response = harmless_response(text)
         if response is not None:
-            self._answer_in_order(response)
+            self.answer_in_order(response)
+            return
+        if not self.answers.has_memory(len(text)):
+            self.answer_in_order(NO_ROOM)
             return
         answer = PendingAnswer(self, size=len(text))
         arrived_at = min(self.unread_since, self.poller.events_since)
@@ -135,7 +134,7 @@
             self.invalid_statements += 1
             if self.invalid_statements >= self.clients.limits.max_invalid_statements:
                 raise pgwire.ProtocolViolationError("statements that can't be taken") from None
-            self._answer_in_order(pgwire.error_response(error.sqlstate, str(error)))
+            self.answer_in_order(pgwire.error_response(error.sqlstate, str(error)))
             return
         self.clients.mark_busy(self)
         self.answers.add(answer)
@@ -145,7 +144,7 @@
         if self.closed:
             return
         try:
-            self._answer_in_order(pgwire.fatal_response(b"XX000", "internal error", ready=self.started))
+            self.answer_in_order(pgwire.fatal_response(b"XX000", "internal error", ready=self.started))
             self.close_after_answers(DEFECT)
         except Exception:  # the defect is in what answers: it may end only this connection
             self.end(DEFECT)
@@ -158,7 +157,7 @@
         self.clients.report.log("client", why)
         error = pgwire.fatal_response(b"08P01", why, ready=self.started)
         if self.answers:  # the error has its place after the answers to what was asked before
-            self._answer_in_order(error)
+            self.answer_in_order(error)
         else:
             with contextlib.suppress(OSError):
                 self.send([error])
@@ -181,12 +180,6 @@
         self.update_interest()
         self._end_our_side()
 
-    def _end_our_side(self) -> None:
-        if not self.answers and not self.unsent:
-            self.shutdown_write()
-            if not self.clients.is_stopping:  # closes it in time if its client does not
-                self.clients.silent.setdefault(self, time.monotonic())
-
     def end(self, why: str) -> None:
         """Close the connection at once, and cancel its unanswered RPCs for this reason."""
         if self.closed:
@@ -198,29 +191,20 @@
 
     # --- writing ---
 
-    def _answer_in_order(self, response: bytes) -> None:
+    def answer_in_order(self, response: bytes) -> None:
+        """Answer what is no RPC, after the answers to what was asked before."""
         answer = PendingAnswer(self)
         self.clients.mark_busy(self)
         self.answers.add(answer)
         answer.answer([response])
 
-    def flush(self) -> None:
-        """Write the answers that are ready, up to the first RPC without one."""
-        ready = self.answers.take_ready()
-        if not ready or self.closed:
-            return
-        try:
-            self.send(ready)
-        except OSError as error:
-            self.end(f"its answer can't be written: {error}")
-            return
-        if self.unsent:
-            self.clients.stalled.setdefault(self, time.monotonic())
-        else:
-            self._on_all_written()
+    def on_stalled(self) -> None:
+        """The kernel has taken a part of the answers only."""
+        self.clients.note_stalled(self)
 
-    def _on_all_written(self) -> None:
+    def on_all_written(self) -> None:
         """The kernel has taken all answers: between RPCs, the connection may be closed now."""
+        self.clients.stalled.pop(self, None)
         if self.leaving:
             self._end_our_side()
             return
@@ -229,13 +213,11 @@
         if not self.reading or self.clients.is_stopping:
             self.clients.resumable.append(self)
 
-    def on_writable(self) -> None:
-        """The kernel has taken more of the answers."""
-        self.clients.stalled.pop(self, None)
-        if self.unsent:
-            self.clients.stalled[self] = time.monotonic()
-        else:
-            self._on_all_written()
+    def _end_our_side(self) -> None:
+        if not self.answers and not self.unsent:
+            self.shutdown_write()
+            if not self.clients.is_stopping:  # closes it in time if its client does not
+                self.clients.silent.setdefault(self, time.monotonic())
 
     def close_if_idle(self) -> None:
         """While we stop, end our side between RPCs, once all that has arrived is answered.
--- a/brookreach/net/clients.py
+++ b/brookreach/net/clients.py
@@ -8,33 +8,24 @@
 import socket
 import time
 from collections import Counter, OrderedDict, deque
-from enum import IntEnum
 from itertools import islice
 
 import anyio
 
 from brookreach.net import pgwire
 from brookreach.net.client import Client
-from brookreach.net.drain import Drain
+from brookreach.net.drain import Drain, ShutdownPhase
 from brookreach.net.limits import Limits
 from brookreach.net.listener import Listener, NoRoomError
 from brookreach.net.poller import Expirable, Poller
 from brookreach.net.refusals import RefusedConnections
 from brookreach.net.report import Report
+from brookreach.net.rpc_memory import RpcMemory
 from brookreach.net.rpc_receiver import RpcReceiver
 
 EVICTED = "evicted for a new connection"
 
 
-class ShutdownPhase(IntEnum):
-    """How far a shutdown has come."""
-
-    NONE = 0
-    REFUSING_NEW = 1  # new connections are refused, those between RPCs are ended
-    PAST_DEADLINE = 2  # past the drain's deadline: no connection is waited for
-    CLOSING = 3  # connections that still wait to be accepted are refused, and the listener closed
-
-
 class Clients:
     """The table of client connections.
 
@@ -59,6 +50,7 @@
         self.stalled: OrderedDict[Client, float] = OrderedDict()
         self.close_counts: Counter[str] = Counter()  # connections that have ended, by reason
         self.pool = pgwire.BufferPool(limits.large_message_bytes)
+        self.memory = RpcMemory(limits)
         self.resumable: deque[Client] = deque()  # may have received RPCs that were not handled yet
         self.refusals = RefusedConnections(limits, poller, self.pool, self.resume_accepting, receiver.available_links)
         self.phase = ShutdownPhase.NONE
@@ -154,6 +146,14 @@
         self.silent.pop(client, None)
         self.idle.pop(client, None)
 
+    def note_stalled(self, client: Client) -> None:
+        """A client does not take its answers; without room for them, those that have stalled longest are ended."""
+        self.stalled.pop(client, None)
+        self.stalled[client] = time.monotonic()  # since the kernel last took something
+        client.answers.note_unsent(client.unsent)
+        while self.memory.answers.is_exceeded() and self.stalled:
+            next(iter(self.stalled)).end("takes nothing of its answer while others need the room")
+
     def remove(self, client: Client, why: str) -> None:
         """A connection has ended, for this reason."""
         self.close_counts[why.partition(":")[0]] += 1
--- a/brookreach/net/drain.py
+++ b/brookreach/net/drain.py
@@ -7,10 +7,20 @@
 
 import math
 import time
+from enum import IntEnum
 
 from brookreach.net.limits import Limits
 
 
+class ShutdownPhase(IntEnum):
+    """How far a shutdown has come."""
+
+    NONE = 0
+    REFUSING_NEW = 1  # new connections are refused, those between RPCs are ended
+    PAST_DEADLINE = 2  # past the drain's deadline: no connection is waited for
+    CLOSING = 3  # connections that still wait to be accepted are refused, and the listener closed
+
+
 class Drain:
     """The deadline of a shutdown; infinite until it begins. Times are seconds of the monotonic clock."""
 
--- a/brookreach/net/limits.py
+++ b/brookreach/net/limits.py
@@ -23,6 +23,7 @@
 KILL_MARGIN_S = 0.7
 STOP_RESERVE_S = 0.4
 RESERVED_DESCRIPTORS = 24
+PROGRAM_BYTES = 26 * KIB * KIB  # of the process at rest
 CONNECTION_BYTES = 8 * KIB  # of memory, for each connection that may stand
 MIN_CONNECTIONS = 16
 
@@ -34,7 +35,10 @@
     # From the configuration and the settings.
     max_clients: int  # client connections at a time; beyond it those that hold no RPC are evicted for new ones
     max_links: int  # connections to nodes at a time, idle ones among them
-    large_message_bytes: int  # beyond the first buffers, for client connections and for those to nodes each
+    large_message_bytes: int  # of messages that come, beyond the first buffers of client connections
+    large_answer_bytes: int  # the same of connections to nodes
+    open_rpc_bytes: int  # of all RPCs without a final answer; those that come beyond it are refused
+    held_answer_bytes: int  # of all answers that can't be written yet
     connect_timeout_s: float  # of a connection to a node
     idle_timeout_s: float  # an idle connection is closed by us before the other side may close it
     vote_timeout_s: float  # of a vote's answer
@@ -80,7 +84,7 @@
     # Logging.
     log_lines_per_s: int = 20  # of each kind of line
     # Sockets handled before the balancer's events, and events before the sockets again. An RPC brings three events.
-    sockets_per_poll: int = 16
+    sockets_per_poll: int = 8
     sockets_per_turn: int = 64  # accepted at a time, or read of one connection at its end
     events_per_turn: int = 256
     turn_s: float = 0.005  # of both, before other tasks run: reading a list of nodes takes several of their turns
@@ -101,10 +105,12 @@
     settings, given = SettingsObject(settings_values, "settings"), SettingsObject(limits, "limits")
     allowed, sockets = settings.object("allowed"), given.count("sockets")
     longest_s = max([one.ms_from_us("hardLimitUs") for one in settings.objects("classes")], default=0.0) / 1000.0
-    # A connection costs a descriptor and, at rest, some 4 KiB; a quarter of the memory is for these, and a sixteenth
-    # each for large messages of clients and of nodes. Reserved descriptors: the epoll, standard streams, the listener,
-    # discovery, the feed, votes under way, refused connections, one just accepted.
+    # A connection costs a descriptor and, at rest, some 4 KiB; a quarter of the memory is for these. What the
+    # program leaves is shared by large messages of clients, those of nodes, open RPCs and answers that wait; the rest
+    # of it is for connections and what the allocator holds. Reserved descriptors: the epoll, standard streams, the
+    # listener, discovery, the feed, votes under way, refused connections, one just accepted.
     memory = int(given.number("memory_mb", MAX_MEMORY_MB) * 1024 * KIB)
+    spare = max(memory - PROGRAM_BYTES, memory // 16)
     connections = min(sockets - RESERVED_DESCRIPTORS, memory // 4 // CONNECTION_BYTES)
     if connections < MIN_CONNECTIONS:
         raise SettingsError(
@@ -129,7 +135,10 @@
         list_retry_max_s=2.0 * within_s if is_service else 0.04,
         max_clients=connections * 11 // 20,
         max_links=connections * 9 // 20,
-        large_message_bytes=memory // 16,
+        large_message_bytes=min(memory // 16, spare // 12),
+        large_answer_bytes=min(memory // 16, spare // 8),
+        open_rpc_bytes=spare // 8,
+        held_answer_bytes=spare // 12,
         connect_timeout_s=allowed.ms_from_us("dialTimeoutUs") / 1000.0,
         idle_timeout_s=0.8 * allowed.ms_from_us("keepaliveUs") / 1000.0,
         vote_timeout_s=settings.object("familyInfo").ms_from_us("answerWaitUs") / 1000.0,
--- a/brookreach/net/node_connection.py
+++ b/brookreach/net/node_connection.py
@@ -15,7 +15,7 @@
 from brookreach.net.barrier import BARRIER_COUNT, BARRIERS, BarrierReplies
 from brookreach.net.endpoint import Endpoint
 from brookreach.net.in_flight import InFlightQuery
-from brookreach.net.poller import ANY_EVENT, IN
+from brookreach.net.poller import IN
 from brookreach.net.pool_state import ConnectionPoolState
 from brookreach.net.result import QueryResult
 from brookreach.net.stream import Stream
@@ -43,8 +43,8 @@
         self, pool_state: ConnectionPoolState, endpoint: Endpoint, sock: socket.socket, in_flight: InFlightQuery
     ) -> None:
         inbound = pgwire.MessageBuffer(pool_state.limits.max_message_bytes, pool_state.buffer_pool)
-        # Answers must not wait behind the requests of a crowd; they are as few as picks in flight.
-        super().__init__(pool_state.poller, sock, inbound, connecting=True, urgent_mask=ANY_EVENT)
+        # Answers must not wait behind the requests of a crowd.
+        super().__init__(pool_state.poller, sock, inbound, connecting=True, is_preferred=True)
         self.pool_state = pool_state
         self.endpoint = endpoint
         self.in_flight: InFlightQuery | None = in_flight
@@ -227,6 +227,7 @@
             self.discard()
         else:
             self.state = IDLE
+            self.result = QueryResult()  # the last answer may be large, and the connection idle for long
             self.idle_since = now
             endpoint.idle_connections.append(self)
 
--- a/brookreach/net/open_rpcs.py
+++ b/brookreach/net/open_rpcs.py
@@ -73,6 +73,7 @@
         rpc = self.by_id.pop(rpc_id, None)
         if rpc is not None:
             self.client_ids.discard(rpc.statement.name)
+            rpc.statement.drop_text()  # picks that are out hold it as well, and write nothing of it any more
         return rpc
 
     def answer(self, rpc_id: int, buffers: list[bytes | memoryview], kind: str) -> None:
--- a/brookreach/net/poller.py
+++ b/brookreach/net/poller.py
@@ -19,7 +19,6 @@
 RDHUP = select.EPOLLRDHUP
 ALWAYS_REPORTED = select.EPOLLHUP | select.EPOLLERR
 ENDED = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR  # the other side sends no more
-ANY_EVENT = IN | OUT | ENDED
 WAIT_RETRY_S = 0.005
 
 
@@ -39,14 +38,16 @@
     """A socket that is registered with the poller.
 
     `urgent_mask` are the epoll events that are handled as they are found, before sockets that wait for their turn.
+    Among those that wait, preferred ones have theirs first.
     """
 
-    def __init__(self, poller: Poller, sock: socket.socket, urgent_mask: int = 0) -> None:
+    def __init__(self, poller: Poller, sock: socket.socket, urgent_mask: int = 0, is_preferred: bool = False) -> None:
         sock.setblocking(False)
         self.poller = poller
         self.sock = sock
         self.fd = sock.fileno()
         self.urgent_mask = urgent_mask
+        self.is_preferred = is_preferred
         self.closed = False
 
     def handle_events(self, mask: int) -> None:
@@ -80,15 +81,15 @@
 class Poller:
     """The epoll, and the sockets that were found ready and wait for their turn, the longest waiting first.
 
-    Each poll asks for all sockets that are ready, handles the urgent ones, and some of those that wait. So the end of a
-    client's connection or a node's answer does not wait behind the requests of a crowd. What is being handled occurred
-    after `events_since` (seconds of the monotonic clock), however long its socket has waited.
+    Each poll asks for all sockets that are ready, handles what is urgent on them, and some of those that wait. So the
+    end of a client's connection or a node's answer does not wait behind the requests of a crowd. What is being handled
+    occurred after `events_since` (seconds of the monotonic clock), however long its socket has waited.
 
     The kernel may refuse a change of registration for a moment (ENOMEM, ENOSPC): it is repeated at a later poll, so
     that no connection fails because of it.
 
     Args:
-        max_sockets: Sockets handled in one poll besides the urgent ones.
+        max_sockets: Preferred sockets handled in one poll, and as many others.
         on_fault: Called with the traceback of a defect in a handler.
     """
 
@@ -98,6 +99,7 @@
         self.on_fault = on_fault
         self.watched: dict[int, PolledSocket] = {}
         self.ready: dict[PolledSocket, ReadySocket] = {}  # in the order in which they are handled
+        self.ready_preferred: dict[PolledSocket, ReadySocket] = {}
         self.registered: set[int] = set()
         self.refused_masks: dict[int, int] = {}  # that the kernel has not taken yet, by descriptor
         self.events_since = self.polled_at = time.monotonic()
@@ -105,7 +107,7 @@
     def register(self, one: PolledSocket, mask: int) -> None:
         """Wait for the events in `mask` on this socket, in place of those registered before."""
         self.watched[one.fd] = one
-        waiting = self.ready.get(one)
+        waiting = self._ready_like(one).get(one)
         if waiting is not None:  # it no longer waits for all that was found
             waiting.mask &= mask | ALWAYS_REPORTED
         try:
@@ -126,7 +128,7 @@
         """Wait for no more events on this descriptor."""
         one = self.watched.pop(fd, None)
         if one is not None:
-            self.ready.pop(one, None)
+            self._ready_like(one).pop(one, None)
         self.refused_masks.pop(fd, None)
         if fd in self.registered:
             self.registered.discard(fd)
@@ -147,23 +149,15 @@
             await anyio.sleep(WAIT_RETRY_S)
 
     def poll(self) -> int:
-        """Handle the urgent sockets that are ready now, and some of the others; return how many there were."""
+        """Handle what is urgent, and some of the sockets that wait; return how many there were."""
         return self.poll_urgent() + self.handle_waiting()
 
     def handle_waiting(self) -> int:
-        """Handle some of the sockets that wait; return how many there were."""
-        count = 0
-        for _ in range(min(self.max_sockets, len(self.ready))):
-            if not self.ready:  # a handler has closed the others
-                break
-            one = next(iter(self.ready))
-            waiting = self.ready.pop(one)
-            self._handle(one, waiting.mask, waiting.since)
-            count += 1
-        return count
+        """Handle some of the sockets that wait and are not preferred; return how many there were."""
+        return self._handle_some(self.ready)
 
     def poll_urgent(self) -> int:
-        """Find what is ready now, and handle the urgent sockets; return how many there were."""
+        """Find what is ready now, handle what is urgent and some preferred sockets; return how many there were."""
         since, self.polled_at = self.polled_at, time.monotonic()
         if self.refused_masks:
             self._retry_refused_masks()
@@ -175,21 +169,35 @@
             if one.closed:
                 continue
             if mask & one.urgent_mask:
-                self.ready.pop(one, None)
+                self._ready_like(one).pop(one, None)
                 self._handle(one, mask, since)
                 count += 1
             else:
                 self._add_ready(one, mask, since)
-        return count
+        return count + self._handle_some(self.ready_preferred)
+
+    def _ready_like(self, one: PolledSocket) -> dict[PolledSocket, ReadySocket]:
+        return self.ready_preferred if one.is_preferred else self.ready
 
     def _add_ready(self, one: PolledSocket, mask: int, since: float) -> None:
         """Let a socket wait for its turn; one that waits already keeps its place."""
-        waiting = self.ready.get(one)
+        row = self._ready_like(one)
+        waiting = row.get(one)
         if waiting is None:
-            self.ready[one] = ReadySocket(mask, since)
+            row[one] = ReadySocket(mask, since)
         else:
             waiting.mask |= mask
 
+    def _handle_some(self, row: dict[PolledSocket, ReadySocket]) -> int:
+        """Handle the sockets that have waited longest; return how many there were."""
+        count = 0
+        while row and count < self.max_sockets:
+            one = next(iter(row))
+            waiting = row.pop(one)
+            self._handle(one, waiting.mask, waiting.since)
+            count += 1
+        return count
+
     def _handle(self, one: PolledSocket, mask: int, since: float) -> None:
         self.events_since = since
         if not mask:  # what was found is not waited for any more
--- a/brookreach/net/pool_state.py
+++ b/brookreach/net/pool_state.py
@@ -23,7 +23,7 @@
         self.limits = limits
         self.report = report
         self.poller = poller
-        self.buffer_pool = pgwire.BufferPool(limits.large_message_bytes)
+        self.buffer_pool = pgwire.BufferPool(limits.large_answer_bytes)
         # Connections that have answered and are not ready for the next query, with the monotonic time, in seconds,
         # of their answer.
         self.awaiting_ready: dict[NodeConnection, float] = {}
--- a/brookreach/net/statement.py
+++ b/brookreach/net/statement.py
@@ -65,6 +65,10 @@
         self.before = before
         self.after = after
 
+    def drop_text(self) -> None:
+        """Free the text: nothing of it is to be sent any more."""
+        self.before = self.after = b""
+
     def encode_query(self, wait_ms: float) -> list[bytes | memoryview]:
         """Return the query message with this wait, at least 1 ms, in place of the client's own."""
         return [*query_message(self.before, b"%d" % max(1, int(wait_ms)), self.after)]
--- a/brookreach/net/stream.py
+++ b/brookreach/net/stream.py
@@ -41,8 +41,9 @@
         inbound: MessageBuffer,
         connecting: bool = False,
         urgent_mask: int = 0,
+        is_preferred: bool = False,
     ) -> None:
-        super().__init__(poller, sock, urgent_mask)
+        super().__init__(poller, sock, urgent_mask, is_preferred)
         with contextlib.suppress(OSError):  # the connection works without it, only slower
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.inbound = inbound
--- /dev/null
+++ b/tests/test_rpc_memory.py
@@ -0,0 +1,149 @@
+"""What all open RPCs and answers together may hold is bounded, whoever asks.
+
+With a limit of 32 MB, 100 to 400 sound clients that wrote several large requests at once, or 32 small ones each, brought a
+balancer to 34 to 54 MB, and it was killed. Each connection had its bound, and so had what is read in pieces; no bound
+held for the texts of open RPCs together, nor for the answers that clients did not take.
+"""
+
+import unittest
+from contextlib import closing
+
+from brookreach.net import pgwire
+from brookreach.net.rpc_memory import RPC_OVERHEAD_BYTES
+
+from .peers_clients import ClientConnectionsTestCase, query, row
+from .peers_front import BalancerRig, look, read_answers
+
+HOUR_MS = 3_600_000
+LARGE = "x" * 20_000
+NO_ROOM = b"no room for the request"
+
+
+class OpenRpcsTest(ClientConnectionsTestCase):
+    def counts(self, rig):
+        return rig.clients.memory.requests.used, rig.clients.memory.answers.used
+
+    # Guards against many connections that are each within their bounds, and together use up the memory.
+    def test_all_connections_together_hold_no_more_than_the_limit(self):
+        limit = 100_000
+        rig = self.rig(open_rpc_bytes=limit)
+        crowd = [rig.started_peer() for _ in range(20)]
+        for number, peer in enumerate(crowd):
+            peer.send(query(2 * number + 1, HOUR_MS, LARGE) + query(2 * number + 2, HOUR_MS, LARGE))
+        rig.run_until_idle()
+        self.assertTrue(0 < len(rig.receiver.received) < 40)
+        self.assertLessEqual(self.counts(rig)[0], limit)
+        for number in list(rig.receiver.received):
+            rig.receiver.answer(number)
+        rig.run_until_idle()
+        for peer in crowd:
+            peer.read()
+        answers = b"".join(peer.received for peer in crowd)
+        self.assertEqual(
+            answers.count(pgwire.READY_FOR_QUERY), 40
+        )  # each has its answer, and none its connection ended
+        self.assertEqual(answers.count(NO_ROOM) + len(rig.receiver.received), 40)
+        self.assertEqual(self.counts(rig), (0, 0))
+
+    def test_half_of_it_is_kept_for_connections_with_nothing_under_way(self):
+        rig = self.rig(open_rpc_bytes=10 * (RPC_OVERHEAD_BYTES + 100))
+        greedy = rig.started_peer()
+        greedy.send(b"".join(query(number, HOUR_MS) for number in range(1, 21)))
+        rig.until(lambda: greedy.read() or greedy.client.answers and len(greedy.client.answers) == 20)
+        taken = len(rig.receiver.received)
+        self.assertLess(taken, 8)
+        modest = rig.started_peer()
+        modest.send(query(100, HOUR_MS))
+        rig.until(lambda: 100 in rig.receiver.received)
+
+    def test_clients_that_leave_give_it_back(self):
+        rig = self.rig()
+        peers = [rig.started_peer() for _ in range(5)]
+        for number, peer in enumerate(peers):
+            peer.send(query(number + 1, HOUR_MS, LARGE))
+        rig.until(lambda: len(rig.receiver.received) == 5)
+        self.assertGreater(self.counts(rig)[0], 5 * len(LARGE))
+        for peer in peers:
+            peer.sock.close()
+        rig.run_until_idle()
+        self.assertEqual(self.counts(rig), (0, 0))
+
+    # Guards against the text of an RPC that is kept for a pick whose client has gone or has its answer.
+    def test_the_text_is_freed_with_the_final_answer(self):
+        with closing(BalancerRig()) as rig:
+            rig.listed()
+            client = rig.client()
+            client.send(look(1, HOUR_MS, "hang"))
+            rig.until(lambda: rig.queries() == [1])
+            statement = rig.driver.open_rpcs.get(1).statement
+            client.sock.close()
+            rig.until(lambda: not rig.driver.open_rpcs)
+            self.assertEqual((statement.before, statement.after), (b"", b""))
+
+
+class AnswersTest(ClientConnectionsTestCase):
+    def unread(self, rig, count, size):
+        """A client that has asked `count` times and takes nothing of its answers of `size` bytes, all given."""
+        peer = rig.started_peer(window=4096)
+        peer.shrink_send_buffer()
+        first = len(rig.receiver.received) + 1
+        peer.send(b"".join(query(number, HOUR_MS) for number in range(first, first + count)))
+        rig.until(lambda: len(rig.receiver.received) == first + count - 1)
+        for number in range(first, first + count):
+            rig.receiver.answer(number, bytes(size))
+        return peer
+
+    # Guards against answers that pile up for clients that don't read.
+    def test_answers_that_cannot_be_written_are_bounded(self):
+        limit = 400_000
+        rig = self.rig(held_answer_bytes=limit)
+        peer = self.unread(rig, 20, 60_000)
+        self.assertLessEqual(rig.clients.memory.answers.used, limit)
+        rig.until(lambda: peer.read() or peer.received.count(pgwire.READY_FOR_QUERY) == 20)
+        errors = peer.received.count(b"no room for the answer")
+        self.assertTrue(0 < errors < 20)
+        self.assertEqual(rig.clients.memory.answers.used, 0)
+
+    def test_of_many_that_read_nothing_the_longest_stalled_are_ended(self):
+        limit = 400_000
+        rig = self.rig(held_answer_bytes=limit)
+        for _ in range(12):
+            self.unread(rig, 1, 60_000)
+        self.assertLessEqual(rig.clients.memory.answers.used, limit)
+        self.assertGreater(rig.clients.close_counts["takes nothing of its answer while others need the room"], 0)
+        self.assertGreater(len(rig.clients.connected), 0)
+
+    def test_answers_go_on_in_order_once_the_client_reads(self):
+        rig = self.rig()
+        peer = self.unread(rig, 8, 60_000)
+        peer.expect(row(bytes(60_000)) * 8)
+        self.assertEqual(rig.clients.memory.answers.used, 0)
+        peer.send(query(50))
+        rig.until(lambda: 50 in rig.receiver.received)
+
+
+class NodeConnectionsTest(unittest.TestCase):
+    # Guards against idle connections to nodes that keep their last answer: 60 KB each on hundreds of them.
+    def test_an_idle_connection_keeps_nothing_of_its_last_answer(self):
+        with closing(BalancerRig()) as rig:
+            rig.listed()
+            client = rig.client()
+            client.send(look(1, HOUR_MS))
+            self.assertEqual(read_answers(client, 1), ["row"])
+            idle = [one for endpoint in rig.driver.nodes.endpoints.values() for one in endpoint.idle_connections]
+            self.assertEqual([one.result.messages for one in idle], [[]])
+            self.assertEqual(rig.driver.nodes.buffer_pool.free, rig.driver.limits.large_answer_bytes)
+
+
+class DecisionsTest(unittest.TestCase):
+    def test_a_refusal_for_want_of_room_asks_no_node(self):
+        with closing(BalancerRig(limits={"open_rpc_bytes": 1000})) as rig:
+            rig.listed()
+            client = rig.client()
+            client.send(look(1, HOUR_MS))
+            self.assertEqual(read_answers(client, 1), ["53300"])
+            self.assertEqual((rig.queries(), len(rig.driver.open_rpcs)), ([], 0))
+
+
+if __name__ == "__main__":
+    unittest.main()
