--- a/brookreach/net/client.py
+++ b/brookreach/net/client.py
@@ -101,15 +101,18 @@
         if answer is None:
             self.end("a cancel request, which this protocol has no use for")
             return
-        self.started = answer == pgwire.STARTUP_RESPONSE
+        self.started = self.inbound.can_skip = answer == pgwire.STARTUP_RESPONSE
         self.send([answer])
 
     def _handle_message(self, tag: bytes, body: memoryview) -> None:
         if tag == b"Q":
             self._handle_query(body)
+        elif tag == pgwire.SKIPPED_TAG and bytes(body) == b"Q":
+            self.clients.report.log("client", "a query larger than the room that is left: refused")
+            self.answer_in_order(NO_ROOM)
         elif tag == b"X":
             self.close_after_answers("terminated")
-        elif (response := self.unsupported.answer(tag)) is not None:
+        elif (response := self.unsupported.answer(bytes(body) if tag == pgwire.SKIPPED_TAG else tag)) is not None:
             self.answer_in_order(response)
 
     def _handle_query(self, body: memoryview) -> None:
--- a/brookreach/net/pgwire.py
+++ b/brookreach/net/pgwire.py
@@ -19,6 +19,7 @@
 PUSH_BACK_SQLSTATE = b"53300"
 NOT_READY_SQLSTATE = b"57P03"
 
+SKIPPED_TAG = b"\0"  # no message has it on the wire
 HARMLESS_REPLY_TAGS: tuple[bytes, bytes] = (b"I", b"C")  # of an empty query; of a command that does nothing
 
 
@@ -50,7 +51,8 @@
 
     A message is a pair of tag and view; the view is valid until the next call. The buffer grows with the bytes
     that have arrived, never with a length that was only claimed, as long as the pool has room, and shrinks again
-    when it is empty.
+    when it is empty. Where `can_skip` is set, a message that the pool has no room for is read to its end without being
+    kept; the other messages of the connection stay in step.
 
     Args:
         limit: The longest accepted message, in bytes.
@@ -64,24 +66,42 @@
         self.first = first
         self.data = bytearray(first)
         self.head = self.tail = 0
+        self.can_skip = False
+        self.skipped_tag = b""  # of the message that is not kept
+        self.bytes_to_skip = 0  # of it, that have not arrived
 
     def __len__(self) -> int:
-        return self.tail - self.head
+        return self.tail - self.head + len(self.skipped_tag)
 
     def free_space(self) -> memoryview:
         """Return where the next received bytes go. Raises ProtocolViolationError if the pool is exhausted."""
-        if self.head == self.tail:
-            self.head = self.tail = 0
-            if len(self.data) > self.first:
-                self._resize(self.first)
+        self.shrink_if_empty()
         if self.tail == len(self.data):
             held = self.data[self.head : self.tail]
             if self.head < len(self.data) // 2:  # more than half is one unfinished message
+                if self.can_skip and len(self.data) > self.pool.free:
+                    self._skip_message()
+                    return memoryview(self.data)
                 self._resize(2 * len(self.data))
             self.data[: len(held)] = held
             self.head, self.tail = 0, len(held)
         return memoryview(self.data)[self.tail :]
 
+    def shrink_if_empty(self) -> None:
+        """Return the memory of messages that have been handled to the pool: others may need it before this one does."""
+        if self.head == self.tail:
+            self.head = self.tail = 0
+            if len(self.data) > self.first:
+                self._resize(self.first)
+
+    def _skip_message(self) -> None:
+        """Drop what has arrived of the unfinished message, and what will."""
+        tag, length = MESSAGE_HEADER.unpack_from(self.data, self.head)
+        self.skipped_tag = tag
+        self.bytes_to_skip = 1 + length - (self.tail - self.head)
+        self.head = self.tail = 0
+        self._resize(self.first)  # at once: it may be room for another connection's message
+
     def _resize(self, size: int) -> None:
         growth = size - len(self.data)
         if growth > self.pool.free:
@@ -96,7 +116,11 @@
 
     def received(self, count: int) -> None:
         """Count the bytes that were written into `free_space`."""
-        self.tail += count
+        skipped = min(count, self.bytes_to_skip)
+        self.bytes_to_skip -= skipped
+        if skipped < count:
+            self.head += skipped
+            self.tail += count
 
     def _take(self, start: int, length: int) -> memoryview | None:
         """Return the body of a message whose length field stands at `start`; `length` counts itself, as on the wire.
@@ -118,7 +142,16 @@
         return self._take(self.head, INT32.unpack_from(self.data, self.head)[0])
 
     def next_message(self) -> tuple[bytes, memoryview] | None:
-        """Return the tag and body of the next message; None while it is incomplete."""
+        """Return the tag and body of the next message; None while it is incomplete.
+
+        In place of a message that was not kept: `SKIPPED_TAG`, and its own tag.
+        """
+        if self.skipped_tag:
+            if self.bytes_to_skip:
+                return None
+            skipped = memoryview(self.skipped_tag)
+            self.skipped_tag = b""
+            return SKIPPED_TAG, skipped
         if len(self) < 5:
             return None
         tag, length = MESSAGE_HEADER.unpack_from(self.data, self.head)
--- a/brookreach/net/stream.py
+++ b/brookreach/net/stream.py
@@ -114,6 +114,7 @@
                 else:
                     self.inbound.received(count)
                     self.on_data()
+                    self.inbound.shrink_if_empty()
         except OSError as error:
             if error.errno not in TRANSIENT_ERRORS:
                 self.on_closed(str(error))
