--- a/brookreach/coordination/protocol/limits.py
+++ b/brookreach/coordination/protocol/limits.py
@@ -14,6 +14,7 @@
     Attributes:
         max_clients: Clients connected to one replica.
         max_unidentified: Incoming connections that have not sent a valid frame yet.
+        max_unidentified_bytes: What these may hold of unfinished frames, all together.
         handshake_timeout_s: Time in which they have to.
         connect_timeout_s: Time for an outgoing TCP connection.
         send_timeout_s: A peer that accepts no bytes for so long is given up.
@@ -28,6 +29,7 @@
 
     max_clients: int = 2048
     max_unidentified: int = 256
+    max_unidentified_bytes: int = 16 << 20
     handshake_timeout_s: float = 2.0
     connect_timeout_s: float = 1.0
     send_timeout_s: float = 5.0
--- a/brookreach/coordination/protocol/stream.py
+++ b/brookreach/coordination/protocol/stream.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 import anyio
 import anyio.abc
@@ -18,9 +18,16 @@
 """What ends a connection; `OSError` covers `TimeoutError`."""
 
 
-async def read_frames(stream: anyio.abc.ByteStream, max_bytes: int) -> AsyncIterator[bytes]:
+async def read_frames(
+    stream: anyio.abc.ByteStream, max_bytes: int, on_buffered: Callable[[int], object] = int
+) -> AsyncIterator[bytes]:
     """Yields frames as they are received, until the stream ends.
 
+    Args:
+        stream: Where they come from.
+        max_bytes: The longest frame.
+        on_buffered: Called with the bytes that are held, whenever some have been received.
+
     Raises:
         FrameTooLongError: A length prefix is greater than `max_bytes`.
         anyio.EndOfStream: The stream ended; other errors of the stream pass through as well.
@@ -38,6 +45,7 @@
             del buffer[:end]
             yield frame
         buffer += await stream.receive()
+        on_buffered(len(buffer))
 
 
 class SendQueue:
--- a/brookreach/coordination/server/incoming_connection.py
+++ b/brookreach/coordination/server/incoming_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from functools import partial
 from typing import TYPE_CHECKING
 
 import anyio
@@ -12,6 +13,7 @@
 from brookreach.coordination.protocol import frames, messages
 from brookreach.coordination.protocol.stream import SendQueue, read_frames
 from brookreach.coordination.protocol.tags import wire_name
+from brookreach.coordination.server.unidentified import UnidentifiedConnection
 
 if TYPE_CHECKING:
     from brookreach.coordination.server.transport import Transport
@@ -27,13 +29,19 @@
         self._transport = transport
         self._stream = stream
         self._queue: SendQueue | None = None
-        transport.unidentified += 1
+        self._handshake = anyio.CancelScope()
+        self._unidentified = UnidentifiedConnection(self._give_up)
 
     async def read(self, tasks: anyio.abc.TaskGroup) -> None:
         """Put its messages into the inbox until it ends, or sends what no replica or client of the cluster can."""
-        with anyio.move_on_after(self._transport.limits.handshake_timeout_s) as handshake:
+        unidentified = self._transport.unidentified
+        with self._handshake as handshake:
+            handshake.deadline = anyio.current_time() + self._transport.limits.handshake_timeout_s
+            unidentified.add(self._unidentified)
             try:
-                async for octets in read_frames(self._stream, messages.MAX_FRAME_BYTES):
+                async for octets in read_frames(
+                    self._stream, messages.MAX_FRAME_BYTES, partial(unidentified.set_buffered, self._unidentified)
+                ):
                     if not await self._on_frame(octets, handshake, tasks):
                         return
             except FrameTooLongError as error:
@@ -57,6 +65,11 @@
         await transport.inbox.put(queue, self.name, frame.body)
         return True
 
+    def _give_up(self) -> None:
+        count = len(self._transport.unidentified)
+        self._transport.log("link", f"{count} connections have said nothing yet: one more is closed")
+        self._handshake.cancel()
+
     def _reject(self, error: InvalidFrameError) -> None:
         self._transport.reject_frame(self.name or UNIDENTIFIED, error)
 
@@ -86,7 +99,7 @@
             transport.log("link", f"{clients} clients are connected: {name} is closed")
             return False
         self.name = name
-        transport.unidentified -= 1
+        transport.unidentified.remove(self._unidentified)
         if not is_replica:
             self._open_queue(tasks)
             if previous is not None:  # the client has connected anew
@@ -103,9 +116,8 @@
     def close(self) -> None:
         """Take note that the connection ended."""
         transport = self._transport
-        if not self.name:
-            transport.unidentified -= 1
-        elif self._queue is not None and transport.queues.get(self.name) is self._queue:
+        transport.unidentified.remove(self._unidentified)
+        if self._queue is not None and transport.queues.get(self.name) is self._queue:
             del transport.queues[self.name]
             transport.disconnected.append(self.name)
             transport.inbox.arrived.set()
--- a/brookreach/coordination/server/transport.py
+++ b/brookreach/coordination/server/transport.py
@@ -21,6 +21,7 @@
 from brookreach.coordination.protocol.limits import DEFAULT_LIMITS, ConnectionLimits
 from brookreach.coordination.protocol.stream import CONNECTION_ERRORS, SendQueue
 from brookreach.coordination.server.incoming_connection import IncomingConnection
+from brookreach.coordination.server.unidentified import UnidentifiedConnections
 from brookreach.net.backoff import Backoff
 
 LogLine = Callable[[str, str], object]  # takes the kind of a log line, and its text
@@ -34,7 +35,7 @@
         disconnected: Clients whose connection ended or was replaced, for the caller to take.
         queues: What is to be sent, by receiver.
         rejected_frames: How many frames were rejected, by sender and reason.
-        unidentified: How many incoming connections have not said yet whose they are.
+        unidentified: Incoming connections that have not said yet whose they are.
         dial_attempts: How often another replica was dialled.
     """
 
@@ -69,7 +70,7 @@
         self.disconnected: deque[str] = deque()
         self.queues: dict[str, SendQueue] = {}
         self.rejected_frames: Counter[tuple[str, str]] = Counter()
-        self.unidentified = 0
+        self.unidentified = UnidentifiedConnections(limits.max_unidentified, limits.max_unidentified_bytes)
         self.dial_attempts = 0
         self._rng = rng
 
@@ -145,10 +146,6 @@
     # --- Incoming connections ---
 
     async def _accept(self, stream: anyio.abc.ByteStream) -> None:
-        if self.unidentified >= self.limits.max_unidentified:
-            self.log("link", f"{self.unidentified} connections have said nothing yet: one more is closed")
-            await anyio.aclose_forcefully(stream)
-            return
         connection = IncomingConnection(self, stream)
         try:
             async with stream, anyio.create_task_group() as tasks:
