--- a/brookreach/net/client.py
+++ b/brookreach/net/client.py
@@ -61,7 +61,7 @@
                 self.unread_since = math.inf
             self.close_if_idle()
         elif not self.closed and not self.leaving:
-            self.clients.partial.pop(self, None)  # a message is partial now because we stopped reading
+            self.clients.forget_partial(self)  # a message is partial now because we stopped reading
             self.reading = False  # enough is under way; `_on_all_written` resumes reading
             self.unread_since = min(self.unread_since, self.poller.events_since)
             self.update_interest()
@@ -92,9 +92,11 @@
     def _note_partial_message(self, is_new: bool) -> None:
         """All complete messages are handled; a partial one may remain, a new one or the one that was there before."""
         if is_new or not len(self.inbound):
-            self.clients.partial.pop(self, None)
+            self.clients.forget_partial(self)
         if len(self.inbound):
             self.clients.partial.setdefault(self, time.monotonic())
+        if self.inbound.bytes_to_skip:
+            self.clients.discarding.setdefault(self, time.monotonic())
 
     def _handle_startup(self, body: memoryview) -> None:
         answer = startup_answer(body)
@@ -178,7 +180,7 @@
         # A request that crosses our end must stay unread, for then its client sends it again elsewhere.
         self.leaving, self.reading = True, False
         self.clients.mark_busy(self)
-        self.clients.partial.pop(self, None)
+        self.clients.forget_partial(self)
         self.inbound.head = self.inbound.tail
         self.update_interest()
         self._end_our_side()
--- a/brookreach/net/clients.py
+++ b/brookreach/net/clients.py
@@ -22,6 +22,7 @@
 from brookreach.net.report import Report
 from brookreach.net.rpc_memory import RpcMemory
 from brookreach.net.rpc_receiver import RpcReceiver
+from brookreach.net.waiting_rows import older
 
 EVICTED = "evicted for a new connection"
 
@@ -47,6 +48,7 @@
         self.silent: OrderedDict[Client, float] = OrderedDict()
         self.idle: OrderedDict[Client, float] = OrderedDict()
         self.partial: OrderedDict[Client, float] = OrderedDict()
+        self.discarding: OrderedDict[Client, float] = OrderedDict()  # partial ones that there is no room to keep
         self.stalled: OrderedDict[Client, float] = OrderedDict()
         self.close_counts: Counter[str] = Counter()  # connections that have ended, by reason
         self.pool = pgwire.BufferPool(limits.large_message_bytes)
@@ -121,20 +123,21 @@
     def _evict_one(self) -> bool:
         """Close the connection that has been silent or idle for longest; return whether there was one.
 
-        Between RPCs a connection may be closed. If few are silent, their first query is on its way, and idle ones
-        are evicted first. One whose next RPC lies unread is passed over; one with a partial RPC comes last.
+        Between RPCs a connection may be closed. If few are silent, their first query is on its way, and idle ones are
+        evicted first. One whose next RPC lies unread is passed over; one with a partial RPC comes last, but first if
+        there is no room to keep it: it is to be refused anyway.
         """
         rows = [self.silent, self.idle] if len(self.silent) > len(self.idle) else [self.idle, self.silent]
-        for row in [*rows, self.partial]:
-            if row is self.silent and self.refusals.is_full():
+        for row in [self.discarding, *rows, self.partial]:
+            is_refused = row is self.silent or row is self.discarding  # its query may be on its way
+            if is_refused and self.refusals.is_full():
                 continue  # connections that are being refused must not be cut short
             for client in list(islice(row, self.limits.messages_per_turn)):
                 is_asking = client.answers or client.unsent or (row is self.idle and len(client.inbound))
                 if not is_asking and client.is_quiet():
-                    if row is self.silent:  # its first query may be on its way, and must be answered
-                        self.refusals.refuse(
-                            client.detach(), pgwire.PUSH_BACK_SQLSTATE, "too many connections", client.started
-                        )
+                    if is_refused:
+                        sock = client.detach()
+                        self.refusals.refuse(sock, pgwire.PUSH_BACK_SQLSTATE, "too many connections", client.started)
                         self.remove(client, EVICTED)
                     else:
                         client.end(EVICTED)
@@ -143,8 +146,8 @@
 
     def mark_busy(self, client: Client) -> None:
         """A connection is neither silent nor idle any more."""
-        self.silent.pop(client, None)
-        self.idle.pop(client, None)
+        for row in (self.silent, self.idle):
+            row.pop(client, None)
 
     def note_stalled(self, client: Client) -> None:
         """A client does not take its answers; without room for them, those that have stalled longest are ended."""
@@ -154,11 +157,16 @@
         while self.memory.answers.is_exceeded() and self.stalled:
             next(iter(self.stalled)).end("takes nothing of its answer while others need the room")
 
+    def forget_partial(self, client: Client) -> None:
+        """A connection has no partial message any more, or is not waited for."""
+        for row in (self.partial, self.discarding):
+            row.pop(client, None)
+
     def remove(self, client: Client, why: str) -> None:
         """A connection has ended, for this reason."""
         self.close_counts[why.partition(":")[0]] += 1
         self.connected.discard(client)
-        for row in (self.silent, self.idle, self.partial, self.stalled):
+        for row in (self.silent, self.idle, self.partial, self.discarding, self.stalled):
             row.pop(client, None)
         self.client_ended.set()
         self.resume_accepting()
@@ -238,13 +246,3 @@
         """Try again, with the room of refusals that had their time."""
         self.clients.refusals.sweep()
         self.clients.resume_accepting()
-
-
-def older(row: OrderedDict[Client, float], than: float) -> list[Client]:
-    """Return the connections that have been in a row since before `than`, the oldest first."""
-    found: list[Client] = []
-    for client, since in row.items():
-        if since >= than:
-            break
-        found.append(client)
-    return found
--- a/brookreach/net/pgwire.py
+++ b/brookreach/net/pgwire.py
@@ -19,6 +19,7 @@
 PUSH_BACK_SQLSTATE = b"53300"
 NOT_READY_SQLSTATE = b"57P03"
 
+DISCARDED = memoryview(bytearray(64 * 1024))  # where all connections receive what they do not keep
 SKIPPED_TAG = b"\0"  # no message has it on the wire
 HARMLESS_REPLY_TAGS: tuple[bytes, bytes] = (b"I", b"C")  # of an empty query; of a command that does nothing
 
@@ -76,12 +77,14 @@
     def free_space(self) -> memoryview:
         """Return where the next received bytes go. Raises ProtocolViolationError if the pool is exhausted."""
         self.shrink_if_empty()
+        if self.bytes_to_skip:
+            return DISCARDED[: self.bytes_to_skip]
         if self.tail == len(self.data):
             held = self.data[self.head : self.tail]
             if self.head < len(self.data) // 2:  # more than half is one unfinished message
                 if self.can_skip and len(self.data) > self.pool.free:
                     self._skip_message()
-                    return memoryview(self.data)
+                    return DISCARDED[: self.bytes_to_skip]
                 self._resize(2 * len(self.data))
             self.data[: len(held)] = held
             self.head, self.tail = 0, len(held)
@@ -116,10 +119,9 @@
 
     def received(self, count: int) -> None:
         """Count the bytes that were written into `free_space`."""
-        skipped = min(count, self.bytes_to_skip)
-        self.bytes_to_skip -= skipped
-        if skipped < count:
-            self.head += skipped
+        if self.bytes_to_skip:
+            self.bytes_to_skip -= count
+        else:
             self.tail += count
 
     def _take(self, start: int, length: int) -> memoryview | None:
--- a/tests/test_rpc_memory.py
+++ b/tests/test_rpc_memory.py
@@ -163,6 +163,22 @@
         rig.clients.sweep()
         self.assertIn(peer.wait_end()[0], ("FIN", "RST"))
 
+    # Guards against idle connections that make way, while others only send what is not kept.
+    def test_for_a_new_connection_it_makes_way_before_idle_ones_and_is_told(self):
+        rig = self.rig(large_message_bytes=1000, max_clients=2)
+        idle, peer = rig.started_peer(), rig.started_peer()
+        idle.send(query(1))
+        rig.until(lambda: rig.receiver.received == [1])
+        rig.receiver.answer(1)
+        idle.expect(row(b"1"))
+        peer.send(b"Q" + pgwire.INT32.pack(150_000) + b"SELECT '" + bytes(100_000))
+        rig.run_until_idle()
+        newcomer = rig.started_peer()
+        self.assertIn(b"C53300", peer.wait_end()[1])
+        newcomer.send(query(2))
+        idle.send(query(3))
+        rig.until(lambda: sorted(rig.receiver.received) == [1, 2, 3])
+
     def test_cut_at_any_byte_it_stays_in_step(self):
         whole = query(2, HOUR_MS, "x" * 3000)
         for at in (1, 4, 5, 6, 511, 512, 513, 1024, len(whole) - 1):
