--- a/brookreach/net/event_queue.py
+++ b/brookreach/net/event_queue.py
@@ -14,7 +14,6 @@
 from brookreach.net.in_flight import PickResult
 
 # What is known of nodes, builds and clients, and applies to each decision after it.
-StateChange = ifc.NodeList | ifc.RolloutStatus | ifc.OutcomeCounts | ifc.RpcCancelled | ifc.DeadlineShortened
 STATE_CHANGES = (ifc.NodeList, ifc.RolloutStatus, ifc.OutcomeCounts, ifc.RpcCancelled, ifc.DeadlineShortened)
 
 
@@ -38,9 +37,7 @@
 
     def add(self, event: ifc.Event | PickResult) -> None:
         """Append an event to its class; a new RPC is added by `add_rpc`."""
-        if isinstance(event, PickResult):
-            self.outcomes.append(event)
-        elif isinstance(event, STATE_CHANGES):
+        if isinstance(event, STATE_CHANGES):
             self.state_changes.append(event)
         else:
             self.outcomes.append(event)
