--- a/brookreach/net/discovery.py
+++ b/brookreach/net/discovery.py
@@ -18,11 +18,12 @@
 from anyio.abc import TaskGroup
 
 from brookreach import interface as ifc
-from brookreach.net.backoff import Backoff
 from brookreach.net.discovery_entries import JSON_ERRORS, field_readers, read_ids, read_member
 from brookreach.net.endpoint import ListedNode
-from brookreach.net.http import CONNECTION_ERRORS, HttpConnection, NotHttp
+from brookreach.net.http import CONNECTION_ERRORS, HTTP_OK, HttpConnection, NotHttp
 from brookreach.net.limits import Limits
+from brookreach.net.list_call_failure import CallFailure, failure_of_call
+from brookreach.net.list_retry import ListRetrySchedule
 from brookreach.net.report import Report
 
 INSTANCES_PATH = "/registry/instances"
@@ -73,7 +74,9 @@
         self.calls_scope: anyio.CancelScope | None = None  # of all calls to the present address
         self.list_received = anyio.Event()  # in answer to a call
         self.is_loss_reported = False  # since a call last succeeded
-        self.backoff = Backoff(limits.list_retry_min_s, limits.list_retry_max_s, rng)
+        self.retries = ListRetrySchedule(
+            limits.list_retry_period_s, limits.list_overload_delay_s, limits.list_overload_max_delay_s, rng
+        )
 
     def apply_listing(self, listing: Mapping[str, Any], cached: bool = False) -> None:
         """Take over a list or a change of it, in discovery's words: all of it or nothing.
@@ -130,7 +133,7 @@
         """Call this address from now on; calls to another one are given up."""
         if address != self.address:
             self.address = address
-            self.backoff.reset()
+            self.retries.reset()
             if self.calls_scope is not None:
                 self.calls_scope.cancel()
 
@@ -142,7 +145,7 @@
         """
         while True:
             with anyio.CancelScope() as self.calls_scope:
-                await anyio.sleep(self.backoff.next_delay_s())
+                await anyio.sleep(self.retries.delay_s(anyio.current_time()))
                 async with anyio.create_task_group() as calls:
                     calls.start_soon(self._connection, self.address, calls)
 
@@ -154,9 +157,11 @@
         `late_calls` are those of the connection with a late watch beside which this one was opened; they are
         cancelled once this one has received an answer.
         """
+        http = None
         with anyio.CancelScope() as all_calls:
             try:
                 assert address is not None
+                self.retries.call_started(anyio.current_time())
                 with anyio.fail_after(self.limits.full_list_timeout_s):
                     http = await HttpConnection.connect(address)
                 try:
@@ -170,18 +175,22 @@
                         is_followed = await self._watch(http, address, calls, all_calls)
                         if late_calls is not None:
                             late_calls.cancel()
-                        self.backoff.reset()  # it succeeded: if the connection breaks now, the next call is immediate
+                        self.retries.call_succeeded()
                         self.is_loss_reported = False
                         if self.version == version and anyio.current_time() - began_at < self.limits.retry_min_s:
                             await anyio.sleep(self.limits.retry_min_s)  # it answers without waiting: avoid a busy loop
                 finally:
                     await http.close()
             except (*CONNECTION_ERRORS, TimeoutError, *JSON_ERRORS) as error:
+                now = anyio.current_time()
+                failure = failure_of_call(error, http, now - self.retries.last_call_at, self.limits)
+                self.retries.call_failed(failure, now)
                 if not self.is_loss_reported:  # one line, however often it is called again
                     reason = f"{type(error).__name__} {error}"
                     self.report.log("discovery", f"{address}: lost, asked again: {reason}")
                 self.is_loss_reported = True
             except Exception:  # a defect must not end the program: the next call may get better bytes
+                self.retries.call_failed(CallFailure.UNREADABLE, anyio.current_time())
                 self.report.log("fault", traceback.format_exc(limit=-2))
 
     async def _watch(
@@ -217,10 +226,11 @@
     async def _call(self, http: HttpConnection, target: str, timeout_s: float) -> None:
         """Make one call and take over its answer. Raises `CONNECTION_ERRORS`, `JSON_ERRORS` and TimeoutError."""
         last_body = http.last_body
+        self.retries.call_started(anyio.current_time())
         with anyio.fail_after(timeout_s):
             status = await http.request("GET", target)
             body = await http.read_body(self.limits.max_body_bytes)
-        if status != 200:
+        if status != HTTP_OK:
             raise NotHttp(f"status {status}")
         listing = json.loads(body)
         if body == last_body and not listing["complete"] and listing["members"]:
--- a/brookreach/net/http.py
+++ b/brookreach/net/http.py
@@ -13,6 +13,8 @@
 import h11
 from anyio.abc import ByteStream, SocketAttribute
 
+HTTP_OK = 200
+
 
 class NotHttp(Exception):
     """A response can't be read or broke off. The name is part of log lines."""
@@ -34,6 +36,7 @@
         self.host = host
         self.protocol = h11.Connection(h11.CLIENT)
         self.is_request_sent = False  # the last request was written completely
+        self.status: int | None = None  # of the last request's response, once its head has arrived
         self.last_body = b""  # of the response before
 
     @classmethod
@@ -57,6 +60,7 @@
         events: list[h11.Event] = [h11.Request(method=method, target=target, headers=headers)]
         events += [h11.Data(data=body)] if body else []
         self.is_request_sent = False
+        self.status = None
         if self.protocol.trailing_data[0] or self._has_unread():
             raise NotHttp("bytes behind the last answer")
         try:
@@ -68,6 +72,7 @@
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Response):
+                self.status = event.status_code
                 return event.status_code
             if not isinstance(event, h11.InformationalResponse):
                 raise NotHttp(f"{type(event).__name__} instead of an answer")
--- a/brookreach/net/limits.py
+++ b/brookreach/net/limits.py
@@ -22,6 +22,12 @@
 KILL_LIMIT_S = 3.0
 KILL_MARGIN_S = 0.7
 STOP_RESERVE_S = 0.4
+# What discovery has counts as told at the latest 6 s after it can be reached (the standing page); its answer may take
+# 2 s. The reserve is for a process that is held up, and for the way to discovery and back.
+LIST_TOLD_WITHIN_S = 6.0
+LIST_ANSWER_S = 2.0
+LIST_RESERVE_S = 0.2
+AGENT_RETRY_S = 0.04
 RESERVED_DESCRIPTORS = 24
 PROGRAM_BYTES = 26 * KIB * KIB  # of the process at rest
 CONNECTION_BYTES = 8 * KIB  # of memory, for each connection that may stand
@@ -50,8 +56,9 @@
     watch_grace_s: float  # past its wait, a silent watch of the list is given up
     full_list_timeout_s: float  # of a silent call for the whole list
     initial_list_wait_s: float  # at the start, how long the agent's list is waited for before RPCs are taken
-    list_retry_min_s: float  # the first pause after a failed call for the list; it doubles
-    list_retry_max_s: float
+    list_retry_period_s: float  # between the begins of calls for the list that fail without cost to the service
+    list_overload_delay_s: float  # after the first call that an overloaded service failed; it doubles
+    list_overload_max_delay_s: float
     # Of the protocols: values hold 64 KiB, twice that as text, and a head around them.
     max_message_bytes: int = 192 * KIB
     max_startup_bytes: int = 4 * KIB
@@ -92,6 +99,14 @@
     sweep_interval_s: float = 0.25  # between searches for what has been idle or silent for long
 
 
+def _service_retry_period_s(within_s: float) -> float:
+    """Return the longest time between the begins of two calls to the service for lists.
+
+    A balancer has to ask within `within_s`, after a failed call within four times as long.
+    """
+    return min(LIST_TOLD_WITHIN_S - LIST_ANSWER_S - LIST_RESERVE_S, 2.0 * within_s)
+
+
 def limits_from(limits: Mapping[str, Any], settings_values: Mapping[str, Any]) -> Limits:
     """Return the limits of a process.
 
@@ -131,8 +146,9 @@
         watch_grace_s=3.0 if is_service else 1.5,
         full_list_timeout_s=3.0 if is_service else 0.15,
         initial_list_wait_s=0.0 if is_service else 0.5,
-        list_retry_min_s=min(0.1 * settings.count("balancers"), 0.5 * within_s) if is_service else 0.04,
-        list_retry_max_s=2.0 * within_s if is_service else 0.04,
+        list_retry_period_s=_service_retry_period_s(within_s) if is_service else AGENT_RETRY_S,
+        list_overload_delay_s=min(0.1 * settings.count("balancers"), 0.5 * within_s) if is_service else AGENT_RETRY_S,
+        list_overload_max_delay_s=2.0 * within_s if is_service else AGENT_RETRY_S,
         max_clients=connections * 11 // 20,
         max_links=connections * 9 // 20,
         large_message_bytes=min(memory // 16, spare // 12),
