--- a/brookreach/net/client.py
+++ b/brookreach/net/client.py
@@ -16,6 +16,7 @@
 from brookreach.net.answers import NO_ROOM, PendingAnswer
 from brookreach.net.client_writer import ClientWriter
 from brookreach.net.handshake import startup_answer
+from brookreach.net.message_buffer import SKIPPED_TAG
 from brookreach.net.poller import ENDED
 from brookreach.net.statement import InvalidStatementError, harmless_response, parse_statement
 from brookreach.net.unsupported_messages import UnsupportedMessages
@@ -109,12 +110,12 @@
     def _handle_message(self, tag: bytes, body: memoryview) -> None:
         if tag == b"Q":
             self._handle_query(body)
-        elif tag == pgwire.SKIPPED_TAG and bytes(body) == b"Q":
+        elif tag == SKIPPED_TAG and bytes(body) == b"Q":
             self.clients.report.log("client", "a query larger than the room that is left: refused")
             self.answer_in_order(NO_ROOM)
         elif tag == b"X":
             self.close_after_answers("terminated")
-        elif (response := self.unsupported.answer(bytes(body) if tag == pgwire.SKIPPED_TAG else tag)) is not None:
+        elif (response := self.unsupported.answer(bytes(body) if tag == SKIPPED_TAG else tag)) is not None:
             self.answer_in_order(response)
 
     def _handle_query(self, body: memoryview) -> None:
--- a/brookreach/net/client_writer.py
+++ b/brookreach/net/client_writer.py
@@ -8,8 +8,8 @@
 import socket
 from typing import TYPE_CHECKING
 
-from brookreach.net import pgwire
 from brookreach.net.answers import AnswerQueue, PendingAnswer
+from brookreach.net.message_buffer import MessageBuffer
 from brookreach.net.poller import ENDED
 from brookreach.net.stream import Stream
 
@@ -21,7 +21,7 @@
     """A client connection, as far as its answers go."""
 
     def __init__(self, sock: socket.socket, clients: Clients) -> None:
-        inbound = pgwire.MessageBuffer(clients.limits.max_message_bytes, clients.pool)
+        inbound = MessageBuffer(clients.limits.max_message_bytes, clients.pool)
         super().__init__(clients.poller, sock, inbound, urgent_mask=ENDED)  # nothing may be begun for one that has left
         self.clients = clients
         self.answers = AnswerQueue(clients.limits, clients.memory)
--- a/brookreach/net/clients.py
+++ b/brookreach/net/clients.py
@@ -8,15 +8,16 @@
 import socket
 import time
 from collections import Counter, OrderedDict, deque
-from itertools import islice
 
 import anyio
 
 from brookreach.net import pgwire
 from brookreach.net.client import Client
 from brookreach.net.drain import Drain, ShutdownPhase
+from brookreach.net.eviction import connection_to_evict
 from brookreach.net.limits import Limits
 from brookreach.net.listener import Listener, NoRoomError
+from brookreach.net.message_buffer import BufferPool
 from brookreach.net.poller import Expirable, Poller
 from brookreach.net.refusals import RefusedConnections
 from brookreach.net.report import Report
@@ -51,7 +52,7 @@
         self.discarding: OrderedDict[Client, float] = OrderedDict()  # partial ones that there is no room to keep
         self.stalled: OrderedDict[Client, float] = OrderedDict()
         self.close_counts: Counter[str] = Counter()  # connections that have ended, by reason
-        self.pool = pgwire.BufferPool(limits.large_message_bytes)
+        self.pool = BufferPool(limits.large_message_bytes)
         self.memory = RpcMemory(limits)
         self.resumable: deque[Client] = deque()  # may have received RPCs that were not handled yet
         self.refusals = RefusedConnections(limits, poller, self.pool, self.resume_accepting, receiver.available_links)
@@ -121,28 +122,18 @@
             self.listener.set_accepting(True)
 
     def _evict_one(self) -> bool:
-        """Close the connection that has been silent or idle for longest; return whether there was one.
-
-        Between RPCs a connection may be closed. If few are silent, their first query is on its way, and idle ones are
-        evicted first. One whose next RPC lies unread is passed over; one with a partial RPC comes last, but first if
-        there is no room to keep it: it is to be refused anyway.
-        """
-        rows = [self.silent, self.idle] if len(self.silent) > len(self.idle) else [self.idle, self.silent]
-        for row in [self.discarding, *rows, self.partial]:
-            is_refused = row is self.silent or row is self.discarding  # its query may be on its way
-            if is_refused and self.refusals.is_full():
-                continue  # connections that are being refused must not be cut short
-            for client in list(islice(row, self.limits.messages_per_turn)):
-                is_asking = client.answers or client.unsent or (row is self.idle and len(client.inbound))
-                if not is_asking and client.is_quiet():
-                    if is_refused:
-                        sock = client.detach()
-                        self.refusals.refuse(sock, pgwire.PUSH_BACK_SQLSTATE, "too many connections", client.started)
-                        self.remove(client, EVICTED)
-                    else:
-                        client.end(EVICTED)
-                    return True
-        return False
+        """Close one connection that may make way for a new one; return whether there was one."""
+        client = connection_to_evict(self)
+        if client is None:
+            return False
+        is_awaited = client in self.silent or client in self.discarding  # its query may be on its way
+        if is_awaited and not self.refusals.is_full():
+            sock = client.detach()
+            self.refusals.refuse(sock, pgwire.PUSH_BACK_SQLSTATE, "too many connections", client.started)
+            self.remove(client, EVICTED)
+        else:
+            client.end(EVICTED)
+        return True
 
     def mark_busy(self, client: Client) -> None:
         """A connection is neither silent nor idle any more."""
--- a/brookreach/net/node_connection.py
+++ b/brookreach/net/node_connection.py
@@ -15,6 +15,7 @@
 from brookreach.net.barrier import BARRIER_COUNT, BARRIERS, BarrierReplies
 from brookreach.net.endpoint import Endpoint
 from brookreach.net.in_flight import InFlightQuery
+from brookreach.net.message_buffer import MessageBuffer
 from brookreach.net.poller import IN
 from brookreach.net.pool_state import ConnectionPoolState
 from brookreach.net.result import QueryResult
@@ -42,7 +43,7 @@
     def __init__(
         self, pool_state: ConnectionPoolState, endpoint: Endpoint, sock: socket.socket, in_flight: InFlightQuery
     ) -> None:
-        inbound = pgwire.MessageBuffer(pool_state.limits.max_message_bytes, pool_state.buffer_pool)
+        inbound = MessageBuffer(pool_state.limits.max_message_bytes, pool_state.buffer_pool)
         # Answers must not wait behind the requests of a crowd.
         super().__init__(pool_state.poller, sock, inbound, connecting=True, is_preferred=True)
         self.pool_state = pool_state
--- a/brookreach/net/nodes.py
+++ b/brookreach/net/nodes.py
@@ -10,10 +10,10 @@
 import time
 
 from brookreach import interface as ifc
-from brookreach.net import pgwire
 from brookreach.net.endpoint import Endpoint, ListedNode
 from brookreach.net.in_flight import MS_PER_S, DriverCallbacks, InFlightQuery, Outcome, PickResult, WriteDeadline
 from brookreach.net.limits import Limits
+from brookreach.net.message_buffer import BufferPool
 from brookreach.net.node_connection import NodeConnection
 from brookreach.net.poller import Poller
 from brookreach.net.pool_state import ConnectionPoolState
@@ -50,7 +50,7 @@
         return self.pool_state.awaiting_ready
 
     @property
-    def buffer_pool(self) -> pgwire.BufferPool:
+    def buffer_pool(self) -> BufferPool:
         """The memory for large messages on connections to nodes."""
         return self.pool_state.buffer_pool
 
--- a/brookreach/net/pool_state.py
+++ b/brookreach/net/pool_state.py
@@ -7,8 +7,8 @@
 
 from typing import TYPE_CHECKING
 
-from brookreach.net import pgwire
 from brookreach.net.limits import Limits
+from brookreach.net.message_buffer import BufferPool
 from brookreach.net.poller import Poller
 from brookreach.net.report import Report
 
@@ -23,7 +23,7 @@
         self.limits = limits
         self.report = report
         self.poller = poller
-        self.buffer_pool = pgwire.BufferPool(limits.large_answer_bytes)
+        self.buffer_pool = BufferPool(limits.large_answer_bytes)
         # Connections that have answered and are not ready for the next query, with the monotonic time, in seconds,
         # of their answer.
         self.awaiting_ready: dict[NodeConnection, float] = {}
--- a/brookreach/net/refusals.py
+++ b/brookreach/net/refusals.py
@@ -12,6 +12,7 @@
 
 from brookreach.net import pgwire
 from brookreach.net.limits import Limits
+from brookreach.net.message_buffer import BufferPool, MessageBuffer
 from brookreach.net.poller import IN, OUT, Poller
 from brookreach.net.stream import Stream
 
@@ -20,7 +21,7 @@
     """A connection that was answered before it asked anything: whatever arrives on it, nothing of it ran."""
 
     def __init__(self, registry: RefusedConnections, sock: socket.socket) -> None:
-        super().__init__(registry.poller, sock, pgwire.MessageBuffer(registry.limits.max_message_bytes, registry.pool))
+        super().__init__(registry.poller, sock, MessageBuffer(registry.limits.max_message_bytes, registry.pool))
         self.registry = registry
         self.has_written = False  # its client has, and so it reads by now
 
@@ -66,7 +67,7 @@
         self,
         limits: Limits,
         poller: Poller,
-        pool: pgwire.BufferPool,
+        pool: BufferPool,
         on_removed: Callable[[], object],
         available_links: Callable[[], int],
     ) -> None:
--- a/brookreach/net/stream.py
+++ b/brookreach/net/stream.py
@@ -10,14 +10,19 @@
 
 import contextlib
 import errno
+import fcntl
 import socket
+import struct
+import termios
 
-from brookreach.net.pgwire import MessageBuffer, ProtocolViolationError
+from brookreach.net.message_buffer import MessageBuffer
+from brookreach.net.pgwire import ProtocolViolationError
 from brookreach.net.poller import ENDED, IN, OUT, RDHUP, PolledSocket, Poller
 
 # Errors of a call, not of the connection: it is repeated when the socket is ready.
 TRANSIENT_ERRORS = frozenset({errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR, errno.ENOBUFS, errno.ENOMEM})
 MAX_BUFFERS_PER_WRITE = 64
+UNREAD_COUNT = struct.Struct("i")  # what the kernel writes for FIONREAD
 
 
 def parse_address(text: str) -> tuple[str, int]:
@@ -170,6 +175,16 @@
             return False
         return False
 
+    def unread_bytes(self) -> int:
+        """Return how many received bytes lie unread in the kernel, 0 if the connection is broken."""
+        count = bytearray(UNREAD_COUNT.size)
+        try:
+            fcntl.ioctl(self.fd, termios.FIONREAD, count)
+        except OSError:
+            return 0
+        unread: int = UNREAD_COUNT.unpack(count)[0]
+        return unread
+
     def shutdown_write(self) -> None:
         """End our direction of the connection."""
         with contextlib.suppress(OSError):  # the other side has ended it already
--- a/tests/test_rpc_memory.py
+++ b/tests/test_rpc_memory.py
@@ -181,6 +181,28 @@
         idle.send(query(3))
         rig.until(lambda: sorted(rig.receiver.received) == [1, 2, 3])
 
+    # Guards against idle connections that make way, while others write what is not kept slowly: a part lies unread.
+    def test_one_with_a_part_unread_makes_way_before_idle_ones_but_not_with_its_end_unread(self):
+        whole = query(2, HOUR_MS, "x" * 150_000)
+        for unread, asked in ((whole[100_000:-1], [1, 3]), (whole[100_000:] + query(4), [1, 4])):
+            with self.subTest(asked=asked):
+                rig = self.rig(large_message_bytes=1000, max_clients=2)
+                idle, slow = rig.started_peer(), rig.started_peer()
+                idle.send(query(1))
+                rig.until(lambda rig=rig: rig.receiver.received == [1])
+                rig.receiver.answer(1)
+                idle.expect(row(b"1"))
+                slow.send(whole[:100_000])
+                rig.run_until_idle()
+                slow.send_unread(unread)
+                slow.wait_acknowledged()
+                self.assertTrue(rig.clients._evict_one())
+                self.assertEqual(slow.client is None or slow.client.closed, asked[1] == 3)
+                if asked[1] == 3:
+                    self.assertIn(b"C53300", slow.wait_end()[1])
+                    idle.send(query(3))
+                rig.until(lambda rig=rig, asked=asked: rig.receiver.received == asked)
+
     def test_cut_at_any_byte_it_stays_in_step(self):
         whole = query(2, HOUR_MS, "x" * 3000)
         for at in (1, 4, 5, 6, 511, 512, 513, 1024, len(whole) - 1):
