--- a/brookreach/xds/ads_server.py
+++ b/brookreach/xds/ads_server.py
@@ -17,6 +17,7 @@
 from envoy.service.discovery.v3 import discovery_pb2
 
 from brookreach.xds.codec import ResponseEncoder, delta_request, sotw_request
+from brookreach.xds.first_requests import FirstRequestReader
 from brookreach.xds.messages import DiscoveryRequest, Limits, StreamRejectedError
 from brookreach.xds.permissions import NodeIdPermissions, peer_names
 from brookreach.xds.records import BalancerView, NodeAddress
@@ -54,6 +55,7 @@
         clock: The time in ms.
         encoder: Shared by all streams.
         open_streams: How many are open, with those that have not sent a request yet.
+        first_requests: Reads the first request of each stream.
         wakeups: By stream: set when it may have something to send.
         changed: Set when the cache may have something to publish.
     """
@@ -75,6 +77,7 @@
         self.clock = clock
         self.encoder = ResponseEncoder()
         self.open_streams = 0
+        self.first_requests = FirstRequestReader()
         self.wakeups: dict[AdsStream, anyio.Event] = {}
         self.changed = anyio.Event()
 
@@ -138,13 +141,14 @@
         self.open_streams += 1
         try:
             self._check_open_streams()
-            async for data in requests:
-                request = _parse(message_type, data)
-                name = self.authorize(request, context)
-                stream = self._open(name, delta)
-                stream.handle_request(decode(request))
-                await self._serve(requests, context, stream, name, lambda data: decode(_parse(message_type, data)))
+            data = await self.first_requests.read(requests)
+            if data is None:
                 return
+            request = _parse(message_type, data)
+            name = self.authorize(request, context)
+            stream = self._open(name, delta)
+            stream.handle_request(decode(request))
+            await self._serve(requests, context, stream, name, lambda data: decode(_parse(message_type, data)))
         except StreamRejectedError as error:
             self.log(f"proxy {name or 'unknown'} ended: {error.code} {error}")
             await context.abort(STATUS_CODES[error.code], str(error))
--- a/brookreach/xds/grpc_server.py
+++ b/brookreach/xds/grpc_server.py
@@ -11,6 +11,7 @@
 ADS_SERVICE = "envoy.service.discovery.v3.AggregatedDiscoveryService"
 MAX_REQUEST_BYTES = 1 << 20
 MAX_STREAMS_PER_CONNECTION = 128
+LOOKAHEAD_BYTES = 16 << 10
 KEEPALIVE_INTERVAL_MS = 10_000
 KEEPALIVE_TIMEOUT_MS = 5_000
 
@@ -32,6 +33,8 @@
             ("grpc.keepalive_time_ms", KEEPALIVE_INTERVAL_MS),
             ("grpc.keepalive_timeout_ms", KEEPALIVE_TIMEOUT_MS),
             ("grpc.so_reuseport", 0),
+            ("grpc.http2.bdp_probe", 0),  # else the windows of streams that nobody reads grow
+            ("grpc.http2.lookahead_bytes", LOOKAHEAD_BYTES),
             ("grpc.max_concurrent_streams", MAX_STREAMS_PER_CONNECTION),
         ]
     )
