--- a/brookreach/net/shutdown.py
+++ b/brookreach/net/shutdown.py
@@ -32,7 +32,7 @@
         run_logging_errors(self.report, self.driver.shorten_all_deadlines)
         within_s = self.drain.deadline - time.monotonic()
         self._log(f"stops, {len(self.driver.open_rpcs)} RPCs under way, answered within {within_s:.2f} s")
-        await anyio.sleep(self.drain.refuse_new_at - time.monotonic())
+        await anyio.sleep(max(0.0, self.drain.refuse_new_at - time.monotonic()))
         run_logging_errors(self.report, self.clients.refuse_new_connections)
         await self._wait_until_all_ended(self.drain.deadline)
         run_logging_errors(self.report, self.clients.stop_waiting)
