--- a/brookreach/xds/first_requests.py
+++ b/brookreach/xds/first_requests.py
@@ -18,14 +18,9 @@
 
 
 class FirstRequestReader:
-    """Reads the first requests of all streams of a server, in the order in which the streams came.
-
-    Attributes:
-        waiting: How many streams wait for their turn.
-    """
+    """Reads the first requests of all streams of a server, in the order in which the streams came."""
 
     def __init__(self) -> None:
-        self.waiting = 0
         self._turns = anyio.Semaphore(MAX_CONCURRENT_READS)
         self._reads: dict[anyio.CancelScope, float] = {}  # with the time at which each began
 
@@ -35,29 +30,21 @@
         Raises:
             StreamRejectedError: The request was not complete in time.
         """
-        await self._wait_for_turn()
-        try:
+        if not self._turns.value:
+            self._shorten_reads()
+        async with self._turns:
             began_at = anyio.current_time()
             with anyio.CancelScope(deadline=began_at + READ_TIMEOUT_S) as scope:
                 self._reads[scope] = began_at
-                self._shorten_if_crowded()
+                if self._turns.statistics().tasks_waiting:
+                    self._shorten_reads()
                 try:
                     return await anext(requests, None)
                 finally:
                     del self._reads[scope]
-        finally:
-            self._turns.release()
         raise StreamRejectedError("UNAVAILABLE", "the first request was not complete in time")
 
-    async def _wait_for_turn(self) -> None:
-        self.waiting += 1
-        try:
-            self._shorten_if_crowded()
-            await self._turns.acquire()
-        finally:
-            self.waiting -= 1
-
-    def _shorten_if_crowded(self) -> None:
-        if self.waiting:
-            for scope, began_at in self._reads.items():
-                scope.deadline = min(scope.deadline, began_at + CROWDED_READ_TIMEOUT_S)
+    def _shorten_reads(self) -> None:
+        """Let the reads under way end soon: another stream waits for its turn."""
+        for scope, began_at in self._reads.items():
+            scope.deadline = min(scope.deadline, began_at + CROWDED_READ_TIMEOUT_S)
