--- a/brookreach/net/list_retry.py
+++ b/brookreach/net/list_retry.py
@@ -14,11 +14,9 @@
 import math
 import random
 
+from brookreach.net.backoff import GROWTH_FACTOR, MAX_JITTER, MIN_JITTER
 from brookreach.net.list_call_failure import CallFailure
 
-GROWTH_FACTOR = 2.0  # of the delay after each call that was failed by an overloaded service
-MIN_JITTER = 0.5  # such a delay is multiplied by a random factor between these two
-MAX_JITTER = 1.5
 MIN_PERIOD_SHARE = 0.9  # a period is multiplied by a random factor between this and 1
 
 
--- a/brookreach/net/message_buffer.py
+++ b/brookreach/net/message_buffer.py
@@ -84,9 +84,8 @@
 
     def _skip_message(self) -> None:
         """Drop what has arrived of the unfinished message, and what will."""
-        tag, length = MESSAGE_HEADER.unpack_from(self.data, self.head)
-        self.skipped_tag = tag
-        self.bytes_to_skip = 1 + length - (self.tail - self.head)
+        self.bytes_to_skip = self.missing_bytes()
+        self.skipped_tag = bytes(self.data[self.head : self.head + 1])
         self.head = self.tail = 0
         self._resize(self.first)  # at once: it may be room for another connection's message
 
--- a/brookreach/net/platform.py
+++ b/brookreach/net/platform.py
@@ -19,7 +19,7 @@
 from brookreach import interface as ifc
 from brookreach.net.backoff import Backoff
 from brookreach.net.discovery_entries import JSON_ERRORS
-from brookreach.net.http import CONNECTION_ERRORS, HttpConnection, NotHttp
+from brookreach.net.http import CONNECTION_ERRORS, HTTP_OK, HttpConnection, NotHttp
 from brookreach.net.limits import Limits
 from brookreach.net.report import Report
 
@@ -113,7 +113,7 @@
                 http = await HttpConnection.connect(self.address)
                 status = await http.request("POST", BALLOTS_PATH, json.dumps(ballot).encode())
                 body = await http.read_body(self.limits.max_body_bytes)
-                if status == 200:
+                if status == HTTP_OK:
                     rollout = rollout_status_from(json.loads(body), self.stage_count, reply=True)
                 else:
                     outcome = STATUS_OUTCOMES.get(status, ifc.Outcome.TIMEOUT)
@@ -142,7 +142,7 @@
                     with anyio.fail_after(self.limits.feed_silence_timeout_s):
                         http = await HttpConnection.connect(address)
                         status = await http.request("GET", FEED_PATH)
-                    if status != 200:
+                    if status != HTTP_OK:
                         raise NotHttp(f"status {status}")
                     await self._read_feed(http)
                     raise NotHttp("the feed ended")
