--- a/brookreach/net/client.py
+++ b/brookreach/net/client.py
@@ -14,10 +14,11 @@
 
 from brookreach.net import pgwire
 from brookreach.net.answers import NO_ROOM, PendingAnswer
+from brookreach.net.arrival import DataArrival
 from brookreach.net.client_writer import ClientWriter
 from brookreach.net.handshake import startup_answer
 from brookreach.net.message_buffer import SKIPPED_TAG
-from brookreach.net.poller import ENDED
+from brookreach.net.poller import ENDED, IN
 from brookreach.net.statement import InvalidStatementError, harmless_response, parse_statement
 from brookreach.net.unsupported_messages import UnsupportedMessages
 
@@ -33,6 +34,7 @@
     def __init__(self, sock: socket.socket, clients: Clients) -> None:
         super().__init__(sock, clients)
         self.unread_since = math.inf  # since when bytes may lie unread for which there was no room or no turn
+        self.arrival = DataArrival(self)
         self.started = False  # the startup message has come
         self.unsupported = UnsupportedMessages()
         self.invalid_statements = 0
@@ -45,6 +47,8 @@
         """Handle the epoll events in `mask`; the end of the stream before what is unread, which nobody waits for."""
         if mask & ENDED:
             return self.end("end of stream")
+        if mask & IN:
+            self.arrival.note_read()
         return super().handle_events(mask)
 
     def on_data(self) -> None:
@@ -58,8 +62,8 @@
             for answer in self.answers.advance_deadlines():
                 self.clients.receiver.shorten_deadline(answer.rpc_id, answer.due)
         if is_all_handled:
-            if self.unread_since < math.inf and self.is_quiet():
-                self.unread_since = math.inf
+            if min(self.unread_since, self.arrival.waiting_since) < math.inf and self.is_quiet():
+                self.unread_since = self.arrival.waiting_since = math.inf
             self.close_if_idle()
         elif not self.closed and not self.leaving:
             self.clients.forget_partial(self)  # a message is partial now because we stopped reading
@@ -128,7 +132,7 @@
             self.answer_in_order(NO_ROOM)
             return
         answer = PendingAnswer(self, size=len(text))
-        arrived_at = min(self.unread_since, self.poller.events_since)
+        arrived_at = min(self.unread_since, self.arrival.of_message())
         try:
             statement = parse_statement(text, self.clients.limits.max_comment_bytes)
             due = self.clients.drain.answer_due(arrived_at + statement.wait_ms / 1000.0)
--- a/brookreach/net/clients.py
+++ b/brookreach/net/clients.py
@@ -90,7 +90,7 @@
                 return False
             if sock is None:
                 return False
-            self._admit(sock)
+            self._admit(sock, self.listener.waiting_since if self.listener is not None else self.poller.events_since)
         return True
 
     def _must_wait(self) -> bool:
@@ -98,12 +98,14 @@
         has_room = not self.is_stopping and len(self.connected) < self.limits.max_clients
         return not has_room and self.phase != ShutdownPhase.CLOSING and self.refusals.is_full()
 
-    def _admit(self, sock: socket.socket) -> None:
+    def _admit(self, sock: socket.socket, waiting_since: float) -> None:
         """Admit a connection; refuse it while we stop, or if all others hold RPCs: its client can go elsewhere."""
         if self.is_stopping:
             self.refusals.refuse(sock, pgwire.NOT_READY_SQLSTATE, "shutting down")
         elif len(self.connected) < self.limits.max_clients or self._evict_one():
-            self.connected.add(Client(sock, self))
+            client = Client(sock, self)
+            client.arrival.note_accepted(waiting_since)
+            self.connected.add(client)
         else:
             self.report.log("clients", f"{len(self.connected)} connections with RPCs: new ones are refused")
             self.refusals.refuse(sock, pgwire.PUSH_BACK_SQLSTATE, "too many connections")
--- a/brookreach/net/driver.py
+++ b/brookreach/net/driver.py
@@ -24,6 +24,7 @@
 from brookreach.net.poller import Expirable, Poller
 from brookreach.net.report import Report
 from brookreach.net.rpc_intake import RpcIntake
+from brookreach.net.standstill import MAX_WAIT_S, StandstillMonitor
 from brookreach.policy.balancer import Balancer
 
 
@@ -35,6 +36,7 @@
     ) -> None:
         super().__init__(settings, limits, report, clock, poller, drain)
         self.rollout_status: ifc.RolloutStatus | None = None
+        self.standstills = StandstillMonitor(report)
         self.vote: Callable[[ifc.Vote], object] = self.defer_vote
         self.on_queue_empty: Callable[[], bool] | None = None  # returns whether there is more to do
         self.observer: Callable[[float, object], None] | None = None  # notified of events and actions
@@ -59,8 +61,10 @@
     async def run(self) -> None:
         """Run until cancelled."""
         while True:
+            self.standstills.note_turn()
             if self._take_turn():
                 await anyio.lowlevel.checkpoint()  # other tasks have their turn
+                self.standstills.check(0.0)
             else:
                 await self._wait()
 
@@ -86,11 +90,13 @@
         return self._work(ends_at) or has_more or found > 0
 
     async def _wait(self) -> None:
-        wait_s = max(0.0, (self.timers.next_due_ms() - self.clock.now_ms()) / 1000.0)
+        due_s = (self.timers.next_due_ms() - self.clock.now_ms()) / 1000.0
+        wait_s = min(MAX_WAIT_S, max(0.0, due_s))
         with anyio.move_on_after(wait_s) as self.wait_scope:
             await self.poller.wait()
         self.wait_scope = None
-        self.poller.polled_at = time.monotonic()  # what is found now has just arrived
+        if not self.standstills.check(wait_s):
+            self.poller.polled_at = time.monotonic()  # what is found now has just arrived
 
     def _work(self, ends_at: float = math.inf) -> bool:
         """Handle a limited number of events and timers until `ends_at`; return whether there were any."""
--- a/brookreach/net/listener.py
+++ b/brookreach/net/listener.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import errno
+import math
 import socket
 from collections.abc import Callable
 
@@ -51,6 +52,7 @@
             raise
         super().__init__(poller, sock)
         self.on_connection = on_connection
+        self._found_waiting_since = math.inf  # the poll that found waiting connections, until none waits
         self.set_accepting(True)
 
     def set_accepting(self, on: bool) -> None:
@@ -59,8 +61,14 @@
 
     def handle_events(self, mask: int) -> None:
         """Connections wait to be accepted."""
+        self._found_waiting_since = self.waiting_since
         self.on_connection()
 
+    @property
+    def waiting_since(self) -> float:
+        """Return the earliest time at which a connection that waits now may have come, by the monotonic clock."""
+        return min(self._found_waiting_since, self.poller.events_since)
+
     def accept(self, max_tries: int) -> socket.socket | None:
         """Return the next connection, None if none waits. Raises NoRoomError.
 
@@ -71,6 +79,7 @@
             try:
                 return self.sock.accept()[0]
             except BlockingIOError:
+                self._found_waiting_since = math.inf
                 return None
             except OSError as error:
                 if error.errno in EXHAUSTED:
