--- a/brookreach/net/driver.py
+++ b/brookreach/net/driver.py
@@ -23,6 +23,7 @@
 from brookreach.net.limits import Limits
 from brookreach.net.poller import Expirable, Poller
 from brookreach.net.report import Report
+from brookreach.net.rollout_order import RolloutOrder
 from brookreach.net.rpc_intake import RpcIntake
 from brookreach.net.standstill import MAX_WAIT_S, StandstillMonitor
 from brookreach.policy.balancer import Balancer
@@ -36,6 +37,7 @@
     ) -> None:
         super().__init__(settings, limits, report, clock, poller, drain)
         self.rollout_status: ifc.RolloutStatus | None = None
+        self.rollout_order = RolloutOrder(1000.0 * limits.stale_status_period_s)
         self.standstills = StandstillMonitor(report)
         self.vote: Callable[[ifc.Vote], object] = self.defer_vote
         self.on_queue_empty: Callable[[], bool] | None = None  # returns whether there is more to do
@@ -148,10 +150,8 @@
 
     def _handle(self, now: float, event: ifc.Event) -> None:
         if isinstance(event, ifc.RolloutStatus) and event.ending == ifc.Outcome.OK:
-            previous = self.rollout_status
-            if previous is None or event.cap < previous.cap or event.build != previous.build:
-                self.nodes.invalidate_picks(event.build)
-            self.rollout_status = event
+            event = self.rollout_order.newest(now, event)
+            self._note_status(event)
         try:
             actions = self.balancer.handle(now, event)
         except Exception:
@@ -164,6 +164,12 @@
                 self.observer(now, observed)
         self._carry_out(actions)
 
+    def _note_status(self, status: ifc.RolloutStatus) -> None:
+        previous = self.rollout_status
+        if previous is None or status.cap < previous.cap or status.build != previous.build:
+            self.nodes.invalidate_picks(status.build)
+        self.rollout_status = status
+
     def _restart_balancer(self, trace: str) -> None:
         """Replace a balancer that failed, since its state can't be trusted.
 
--- a/brookreach/net/limits.py
+++ b/brookreach/net/limits.py
@@ -85,6 +85,7 @@
     exit_grace_s: float = 0.15  # past drain_timeout_s, until the process exits: what comes then is refused at once
     # Discovery and the platform.
     stale_list_period_s: float = 10.0  # for so long, older lists take no drain back; after that they do
+    stale_status_period_s: float = 10.0  # for so long after the newest rollout status, older ones count as held up
     retry_min_s: float = 0.1  # between tries of the feed after a failure
     retry_max_s: float = 1.0
     feed_silence_timeout_s: float = 3.5  # a feed without a sign of life for so long is opened again
