--- a/brookreach/net/statement.py
+++ b/brookreach/net/statement.py
@@ -26,6 +26,8 @@
 ID_PATTERN = re.compile(rb"[0-9A-Za-z_.:-]{1,64}\Z")
 MAX_BLANK_BYTES: Final = 64  # of an empty query
 MAX_NUMBER: Final = 1e12  # of all numbers in the comment
+MIN_WORK_US: Final = 0.001  # no work takes less; 0 states none
+US_PER_MS: Final = 1000.0
 
 
 class Statement:
@@ -86,6 +88,16 @@
     return number
 
 
+def _work_ms(values: dict[bytes, bytes]) -> float | None:
+    """Return the client's guess at the work, None if it states none."""
+    if b"h" not in values:
+        return None
+    work_us = _number(values, b"h")
+    if 0.0 < work_us < MIN_WORK_US:
+        raise InvalidStatementError(b"22023", "h out of range")
+    return work_us / US_PER_MS
+
+
 def harmless_response(text: memoryview) -> bytes | None:
     """Return the response to a query that does nothing (an empty one, SET, RESET, DISCARD), None for any other."""
     if not bytes(text[:MAX_BLANK_BYTES]).strip(b" \t\r\n;\0"):
@@ -127,7 +139,7 @@
         name=values[b"id"],
         method=values.get(b"c", b""),
         wait_ms=wait_ms,
-        cost_ms=_number(values, b"h") / 1000.0 if b"h" in values else None,
+        cost_ms=_work_ms(values),
         is_retry=values.get(b"r") == b"1",
         is_write=verb.group(1).lower() == b"insert",
         # Keys stay as the wire gives them: equal keys, equal numbers.
--- a/brookreach/policy/node_selection.py
+++ b/brookreach/policy/node_selection.py
@@ -36,6 +36,7 @@
 CONNECTION_REST_MS: Final = 30.0  # a pick goes over no connection whose last answer is less old
 TYPICAL_NODES_SHARE: Final = 0.75  # of the nodes: those that fail least tell the typical failure rate
 AVERAGE_WEIGHT: Final = 0.02  # of a new value in a moving average
+MIN_EXPECTED_MS: Final = 1e-6  # an RPC takes at least so long
 
 
 class NodeSelection(NodeRegistry):
@@ -67,9 +68,13 @@
         self.is_candidate_suspect = True
 
     def expected_ms(self, rpc: RoutedRpc) -> float:
-        """Returns how long such an RPC typically takes: by its method, and by its cost where it states one."""
+        """Returns how long such an RPC typically takes: by its method, and by its cost where it states one.
+
+        Never 0, whatever clients state: durations are divided by it.
+        """
         typical_cost_ms = self.typical_cost_ms.get(rpc.method)
-        return self.typical_ms[rpc.method] * (rpc.cost_ms / typical_cost_ms if rpc.cost_ms and typical_cost_ms else 1.0)
+        cost_ratio = rpc.cost_ms / typical_cost_ms if rpc.cost_ms and typical_cost_ms else 1.0
+        return max(MIN_EXPECTED_MS, self.typical_ms[rpc.method] * cost_ratio)
 
     def request_offers(self, now: float, rpc: RoutedRpc, draws: int = INITIAL_DRAWS) -> None:
         """Draws nodes that may take the RPC and asks each of them for an offer."""
--- a/brookreach/policy/routed_rpc.py
+++ b/brookreach/policy/routed_rpc.py
@@ -12,6 +12,7 @@
 OFFER_ENTRY: Final = 0
 OFFER_HEALTH: Final = 1
 OFFER_WAIT_MS: Final = 2
+MIN_COST_MS: Final = 1e-6  # of what an RPC states: durations are divided by it
 
 
 class RoutedRpc:
@@ -29,11 +30,11 @@
         self.rpc_id = event.rpc_id
         self.method = event.method
         self.method_settings = method_settings
-        self.cost_ms = event.cost_ms
+        self.cost_ms = max(event.cost_ms, MIN_COST_MS) if event.cost_ms else event.cost_ms
         self.key = event.key
         self.client_id = event.client_id
         self.deadline_ms = event.deadline_ms
-        soft_ms = method_settings.soft_ms + method_settings.soft_stretch * (event.cost_ms or 0.0)
+        soft_ms = method_settings.soft_ms + method_settings.soft_stretch * (self.cost_ms or 0.0)
         self.soft_deadline_ms = min(now + min(soft_ms, method_settings.hard_ms), self.deadline_ms)
         self.picks: list[list[Any]] = []
         self.offers: list[tuple[NodeEntry, int, float]] = []
