--- a/brookreach/net/clients.py
+++ b/brookreach/net/clients.py
@@ -94,9 +94,15 @@
         return True
 
     def _must_wait(self) -> bool:
-        """Whether the next connection would be refused while earlier ones have not read their refusal yet."""
+        """Whether the next connection would be refused while earlier ones have not read their refusal yet.
+
+        That lasts for a limited time: the next one may hold an RPC, which has to be answered in time as well.
+        """
         has_room = not self.is_stopping and len(self.connected) < self.limits.max_clients
-        return not has_room and self.phase != ShutdownPhase.CLOSING and self.refusals.is_full()
+        if has_room or self.phase == ShutdownPhase.CLOSING or self.listener is None:
+            return False
+        waited_s = time.monotonic() - self.listener.waiting_since
+        return waited_s < self.limits.accept_wait_s and self.refusals.is_full()
 
     def _admit(self, sock: socket.socket, waiting_since: float) -> None:
         """Admit a connection; refuse it while we stop, or if all others hold RPCs: its client can go elsewhere."""
--- a/brookreach/net/limits.py
+++ b/brookreach/net/limits.py
@@ -80,6 +80,7 @@
     # How long each connection to a node is used once, after it answered twice or out of order.
     single_use_period_s: float = 10.0
     accept_retry_s: float = 0.02  # after an error for want of room, until accept is tried again
+    accept_wait_s: float = 0.25  # that a connection may wait for refused ones; an RPC on it is late after 0.5 s
     # At a stop, connections keep coming for a moment after the signal.
     refuse_new_after_s: float = 0.5
     exit_grace_s: float = 0.15  # past drain_timeout_s, until the process exits: what comes then is refused at once
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -116,6 +116,15 @@
         waits.expect(pgwire.STARTUP_RESPONSE)
         self.assertEqual(second.wait_end(), ("FIN", FULL_BEHIND_THE_WELCOME))
 
+    # Guards against an RPC that is out of time while its connection waits behind refused ones that stay.
+    def test_a_connection_waits_for_a_limited_time_for_refused_ones(self):
+        rig = self.full_rig(min_refusals=1, refusal_timeout_s=60.0, accept_wait_s=0.1)
+        silent = rig.peer(b"")
+        self.assertEqual(silent.wait_end(), ("FIN", FULL))
+        waiting = [rig.peer(HELLO + query(number)) for number in range(2, 12)]
+        for peer in waiting:
+            self.assertEqual(peer.wait_end(), ("FIN", FULL))
+
     def test_a_connection_after_a_refused_one_is_served_once_there_is_room(self):
         rig = self.full_rig()
         self.assertEqual(rig.peer().wait_end(), ("FIN", FULL))
