--- a/brookreach/net/driver.py
+++ b/brookreach/net/driver.py
@@ -66,9 +66,11 @@
             self.standstills.note_turn()
             if self._take_turn():
                 await anyio.lowlevel.checkpoint()  # other tasks have their turn
-                self.standstills.check(0.0)
+                has_stood_still = self.standstills.check(0.0)
             else:
-                await self._wait()
+                has_stood_still = await self._wait()
+            if has_stood_still:
+                await self._let_others_read()
 
     def _take_turn(self) -> bool:
         """Handle sockets, events and timers for a limited time; return whether there may be more.
@@ -91,14 +93,22 @@
             found += self.poller.handle_waiting()
         return self._work(ends_at) or has_more or found > 0
 
-    async def _wait(self) -> None:
+    async def _let_others_read(self) -> None:
+        """Let other tasks read what came during a standstill: what changes the decisions goes before new RPCs."""
+        for _ in range(self.limits.turns_after_standstill):
+            await anyio.lowlevel.checkpoint()
+
+    async def _wait(self) -> bool:
+        """Wait until there may be something to do; return whether the process stood still meanwhile."""
         due_s = (self.timers.next_due_ms() - self.clock.now_ms()) / 1000.0
         wait_s = min(MAX_WAIT_S, max(0.0, due_s))
         with anyio.move_on_after(wait_s) as self.wait_scope:
             await self.poller.wait()
         self.wait_scope = None
-        if not self.standstills.check(wait_s):
-            self.poller.polled_at = time.monotonic()  # what is found now has just arrived
+        if self.standstills.check(wait_s):
+            return True
+        self.poller.polled_at = time.monotonic()  # what is found now has just arrived
+        return False
 
     def _work(self, ends_at: float = math.inf) -> bool:
         """Handle a limited number of events and timers until `ends_at`; return whether there were any."""
--- a/brookreach/net/limits.py
+++ b/brookreach/net/limits.py
@@ -97,6 +97,7 @@
     sockets_per_turn: int = 64  # accepted at a time, or read of one connection at its end
     events_per_turn: int = 256
     turn_s: float = 0.005  # of both, before other tasks run: reading a list of nodes takes several of their turns
+    turns_after_standstill: int = 16  # of other tasks, before RPCs are read
     gc_threshold: int = 20_000  # objects allocated between collections: RPCs leave no cycles behind
     sweep_interval_s: float = 0.25  # between searches for what has been idle or silent for long
 
--- a/tests/test_arrival.py
+++ b/tests/test_arrival.py
@@ -12,6 +12,8 @@
 from unittest import mock
 
 import anyio
+import anyio.abc
+import anyio.lowlevel
 
 from brookreach import interface as ifc
 from brookreach.net import pgwire
@@ -23,6 +25,8 @@
 from .peers_front import BalancerRig, look
 
 STANDSTILL_S = 0.4
+READER_TURNS = 8  # of a task that reads news: several reads, and its parser
+GOING_BACK = ifc.RolloutStatus(False, ifc.Outcome.OK, 2, 0.0, ifc.RolloutPhase.GOING_BACK, 0.0, 2)
 
 
 def standstill(rig, sent):
@@ -119,6 +123,40 @@
             self.assertGreaterEqual(rig.driver.standstills.total_s, STANDSTILL_S - MAX_WAIT_S)
             self.assertTrue([line for line in rig.report.lines if "held up for" in line])
 
+    # Guards against requests that are sent by a list or a state that was outdated before the process went on.
+    def test_what_other_tasks_read_after_a_standstill_goes_before_requests(self):
+        heard = []
+
+        async def read_news(rig, stream):
+            async with stream:
+                await stream.receive(1)
+                for _ in range(READER_TURNS):
+                    await anyio.lowlevel.checkpoint()
+                rig.driver.enqueue(GOING_BACK)
+
+        async def play(rig, client):
+            async with anyio.create_task_group() as tasks:
+                ours, theirs = socket.socketpair()
+                tasks.start_soon(rig.driver.run)
+                tasks.start_soon(read_news, rig, await anyio.abc.UNIXSocketStream.from_socket(ours))
+                await anyio.sleep(4.0 * MAX_WAIT_S)
+                client.sock.sendall(look(1, 3000))
+                theirs.sendall(b"!")
+                time.sleep(STANDSTILL_S)  # all tasks of the process
+                with anyio.fail_after(5.0), theirs:
+                    while len(heard) < 2:
+                        await anyio.sleep(0.001)
+                tasks.cancel_scope.cancel()
+
+        with closing(BalancerRig()) as rig:
+            rig.listed()
+            client = rig.client()
+            rig.driver.observer = lambda _now, what: (
+                heard.append(type(what)) if isinstance(what, (ifc.RpcReceived, ifc.RolloutStatus)) else None
+            )
+            anyio.run(play, rig, client)
+        self.assertEqual(heard, [ifc.RolloutStatus, ifc.RpcReceived])
+
     # Guards against a quiet time that is taken for a standstill, and a standstill that hides in a long wait.
     def test_what_a_wait_of_planned_length_finds_is_new(self):
         for is_standstill in (False, True):
