--- a/brookreach/net/rpc_intake.py
+++ b/brookreach/net/rpc_intake.py
@@ -35,6 +35,7 @@
         self.methods = {method.name.encode(): index for index, method in enumerate(settings.methods)}
         self.drain = drain
         self.rpc_count = 0
+        self.dropped_count = 0  # of RPCs whose client left before they were decided on
         self.open_rpcs = OpenRpcs()
         self.poller = poller
         self.nodes = NodeConnectionPool(limits, report, poller, self)
@@ -96,6 +97,7 @@
             if rpc.received is None:
                 self.enqueue(ifc.RpcCancelled(rpc_id))
             else:  # the balancer has not heard of it, and never will
+                self.dropped_count += 1
                 self.open_rpcs.forget_departed(rpc_id)
 
     def is_open(self, rpc_id: int) -> bool:
--- a/brookreach/net/shutdown.py
+++ b/brookreach/net/shutdown.py
@@ -37,7 +37,7 @@
         await self._wait_until_all_ended(self.drain.deadline)
         run_logging_errors(self.report, self.clients.stop_waiting)
         await self._wait_until_all_ended(self.drain.exit_at)
-        self._log_end()
+        run_logging_errors(self.report, self._log_end)
         run_logging_errors(self.report, self.driver.open_rpcs.abort_all)
         run_logging_errors(self.report, self.clients.close)
 
@@ -52,9 +52,12 @@
         closes = [f"{count} {why}" for why, count in self.clients.close_counts.most_common(MAX_LOGGED_CLOSE_REASONS)]
         answers = [f"{count} {kind}" for kind, count in self.driver.open_rpcs.answer_counts.items()]
         second_answers = self.driver.nodes.pool_state.second_answers
+        standstills = self.driver.standstills
         self._log(
             f"ends, {len(self.driver.open_rpcs)} RPCs unanswered; answers: {', '.join(answers) or 'none'}; "
-            f"connections closed: {', '.join(closes) or 'none'}; second answers of nodes: {second_answers}"
+            f"connections closed: {', '.join(closes) or 'none'}; second answers of nodes: {second_answers}; "
+            f"dropped undecided: {self.driver.dropped_count}; "
+            f"held up: {standstills.count} times, {standstills.total_s:.2f} s"
         )
 
     def _log(self, text: str) -> None:
--- a/tests/test_client_ends.py
+++ b/tests/test_client_ends.py
@@ -85,6 +85,7 @@
             staying.send(look(1000, 60_000))
             self.assertEqual(read_answers(staying, 1), ["row"])
             self.assertEqual((rig.queries(), len(rig.driver.open_rpcs)), ([1000], 0))
+            self.assertEqual(rig.driver.dropped_count, REQUESTS)
 
     def test_a_deadline_that_is_shortened_while_its_request_is_queued_binds_it(self):
         with closing(BalancerRig()) as rig:
