--- a/brookreach/net/drain.py
+++ b/brookreach/net/drain.py
@@ -28,12 +28,15 @@
         self.limits = limits
         self.began_at = self.refuse_new_at = self.deadline = self.exit_at = math.inf
 
-    def begin(self) -> None:
-        """The signal has come. A second one changes nothing."""
+    def begin(self, signalled_at: float = math.inf) -> None:
+        """The signal has come, at `signalled_at` at the earliest, now if that is not known.
+
+        A second one changes nothing.
+        """
         if self.has_begun:
             return
         # The kill is counted from the signal: whatever is late here must not delay the exit.
-        self.began_at = time.monotonic()
+        self.began_at = min(signalled_at, time.monotonic())
         self.deadline = self.began_at + self.limits.drain_timeout_s
         self.refuse_new_at = min(self.began_at + self.limits.refuse_new_after_s, self.deadline)
         self.exit_at = self.deadline + self.limits.exit_grace_s
--- a/brookreach/net/runtime.py
+++ b/brookreach/net/runtime.py
@@ -181,7 +181,7 @@
     def _begin_drain_at_signal(self) -> None:
         """Fix the end of a shutdown as its signal comes: the event loop, which the receiver wakes, may be late."""
         for number in STOP_SIGNALS:
-            signal.signal(number, lambda _number, _frame: self.drain.begin())
+            signal.signal(number, lambda _number, _frame: self.drain.begin(self.driver.standstills.earliest_input_at()))
             signal.siginterrupt(number, False)
 
     async def listen(self) -> bool:
--- a/brookreach/net/standstill.py
+++ b/brookreach/net/standstill.py
@@ -38,6 +38,12 @@
         self.report.log("standstill", f"held up for {late_s:.2f} s; {self.count} times, {self.total_s:.2f} s in all")
         return True
 
+    def earliest_input_at(self) -> float:
+        """Return the earliest time at which what comes to notice now may have come."""
+        now = time.monotonic()
+        has_stood_still = now - self._last_turn_at >= MAX_WAIT_S + MIN_STANDSTILL_S
+        return self._last_turn_at if has_stood_still else now
+
     def note_turn(self) -> None:
         """A turn begins now."""
         self._last_turn_at = time.monotonic()
--- a/tests/test_arrival.py
+++ b/tests/test_arrival.py
@@ -180,6 +180,10 @@
             self.assertTrue(monitor.check(MAX_WAIT_S))
             monitor.note_turn()
             self.assertFalse(monitor.check(0.0))
+            now.return_value = 12.0 + 2.0 * MAX_WAIT_S
+            self.assertEqual(monitor.earliest_input_at(), now.return_value)
+            now.return_value = 15.0
+            self.assertEqual(monitor.earliest_input_at(), 12.0 + MAX_WAIT_S)
         self.assertEqual(monitor.count, 1)
         self.assertAlmostEqual(monitor.total_s, 2.0)
 
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -105,6 +105,22 @@
         self.assertEqual((len(rig.driver.open_rpcs), rig.driver.open_rpcs.answer_counts["failed"]), (0, 2))
 
 
+class SignalTest(unittest.TestCase):
+    # Guards against a stop that is planned past the kill, which counts from the signal and not from when it is handled.
+    def test_the_deadline_counts_from_the_earliest_time_of_the_signal(self):
+        drain, signalled_at = Drain(LIMITS), time.monotonic() - 1.5
+        drain.begin(signalled_at)
+        self.assertEqual(drain.began_at, signalled_at)
+        self.assertAlmostEqual(drain.deadline, signalled_at + LIMITS.drain_timeout_s)
+        drain.begin(signalled_at - 1.0)
+        self.assertEqual(drain.began_at, signalled_at)
+
+    def test_a_signal_has_not_come_before_now_unless_that_is_known(self):
+        drain, before = Drain(LIMITS), time.monotonic()
+        drain.begin()
+        self.assertGreaterEqual(drain.began_at, before)
+
+
 class LimitsTest(unittest.TestCase):
     """The deadline leaves time before the earliest SIGKILL for a process that is held up twice."""
 
