--- a/brookreach/cli/drill.py
+++ b/brookreach/cli/drill.py
@@ -20,6 +20,7 @@
     "power": "brookreach.simulation.carbon_aware.drill",
     "scope": "brookreach.simulation.subsetting.drill",
     "balancer": "brookreach.simulation.balancer.drill",
+    "standstill": "brookreach.simulation.standstill.drill",
 }
 
 
--- a/brookreach/simulation/balancer/soak_run.py
+++ b/brookreach/simulation/balancer/soak_run.py
@@ -55,6 +55,7 @@
     def __init__(self, scenario: Scenario, folder: Path, command: str, defect: str = ""):
         self.scenario = scenario
         self.record = Record()
+        self.nodes: list[NodeStandIn] = []
         self._folder, self._command, self._defect = folder, command, defect
         self._rng = random.Random(f"run {scenario.seed}")
         self._stop_sent_at = math.inf
@@ -79,16 +80,22 @@
         node_ports = [ports.allocate() for _ in self.scenario.nodes]
         discovery_port, platform_port = ports.allocate(), ports.allocate()
         configuration = self._configuration(node_ports, discovery_port, platform_port)
-        self._control = ControlPlane(configuration["known"]["members"], configuration["deployer"]["news"], self.record)
+        self._control = self._make_control(
+            configuration["known"]["members"], configuration["deployer"]["news"], self.record
+        )
         async with anyio.create_task_group() as tasks:
             for number, (port, kind) in enumerate(zip(node_ports, self.scenario.nodes, strict=True)):
                 node = NodeStandIn(number, self._build_of(number), kind, self.record, self.scenario.seed)
+                self.nodes.append(node)
                 await self._listen(tasks, port, node.serve)
             await self._listen(tasks, discovery_port, self._control.discovery.serve)
             await self._listen(tasks, platform_port, self._control.platform.serve)
             await self._play_processes(configuration)
             tasks.cancel_scope.cancel()
 
+    def _make_control(self, members: list[dict[str, Any]], news: dict[str, Any], record: Record) -> ControlPlane:
+        return ControlPlane(members, news, record)
+
     async def _listen(self, tasks: anyio.abc.TaskGroup, port: int, serve: Any) -> None:
         listener = await anyio.create_tcp_listener(local_host=HOST, local_port=port, backlog=1024)
         tasks.start_soon(listener.serve, serve)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -16,6 +16,7 @@
         "tests/disruption/test_processes.py",
         "tests/simulation/test_application_drills.py",
         "tests/simulation/test_balancer_soak.py",
+        "tests/simulation/test_standstill_drill.py",
     }
 )
 # The longest files, longest first: begun last, one of them would keep a single worker busy at the end.
