--- a/brookreach/net/listener.py
+++ b/brookreach/net/listener.py
@@ -8,6 +8,7 @@
 import errno
 import math
 import socket
+import time
 from collections.abc import Callable
 
 from brookreach.net.poller import IN, PolledSocket, Poller
@@ -52,16 +53,21 @@
             raise
         super().__init__(poller, sock)
         self.on_connection = on_connection
-        self._found_waiting_since = math.inf  # the poll that found waiting connections, until none waits
+        self._found_waiting_since = math.inf  # since when some may wait, until none is seen to wait
+        self._watched_since = math.inf  # what waits since then is found by the next poll
         self.set_accepting(True)
 
     def set_accepting(self, on: bool) -> None:
         """Set whether `on_connection` is called for waiting connections."""
+        self._watched_since = time.monotonic() if on else math.inf
         self.poller.register(self, IN if on else 0)
 
     def handle_events(self, mask: int) -> None:
         """Connections wait to be accepted."""
+        if self.poller.events_since >= self._watched_since:  # the poll then found none waiting
+            self._found_waiting_since = math.inf
         self._found_waiting_since = self.waiting_since
+        self._watched_since = time.monotonic()
         self.on_connection()
 
     @property
--- a/tests/test_arrival.py
+++ b/tests/test_arrival.py
@@ -76,6 +76,23 @@
         sent = standstill(rig, [(peer, query(number)) for number, peer in enumerate(peers)])
         self.check_dated(rig, range(3), sent)
 
+    # Guards against a crowd of long ago whose end was not seen, since accepting paused as its last one had come.
+    def test_one_after_a_pause_of_accepting_is_not_dated_to_before_it(self):
+        rig = self.full_rig(min_refusals=1, refusal_timeout_s=60.0)
+        refused = rig.peer(b"")
+        self.assertEqual(refused.wait_end()[0], "FIN")
+        rig.until(lambda: rig.clients.is_paused)  # for a next one there would be no room
+        refused.sock.close()
+        rig.receiver.answer(1)
+        rig.until(lambda: not rig.clients.is_paused and not rig.clients.refusals.open)
+        rig.run_until_idle()
+        time.sleep(STANDSTILL_S)
+        rig.run_until_idle()
+        before = rig.poller.polled_at
+        rig.peer(HELLO + query(2) + query(3))
+        rig.until(lambda: len(rig.receiver.received) == 3)
+        self.assertGreaterEqual(rig.receiver.received_at[2], before)
+
     def test_one_that_comes_later_on_such_a_connection_is_new(self):
         rig = self.rig()
         rig.run_until_idle()
