--- a/brookreach/simulation/standstill/defects.py
+++ b/brookreach/simulation/standstill/defects.py
@@ -4,7 +4,7 @@
 
 DEFECTS = {
     "requests-before-ends": "what a connection has sent is read before its end, at its turn",
-    "requests-before-news": "all requests that have come are read before lists and states of the rollout",
+    "requests-before-news": "requests that have come are decided on before a list of nodes that was read before them",
     "age-of-reading": "what is found after a standstill counts from then",
     "last-read-state": "the state of a rollout that is read last holds",
     "late-discovery": "after a call to the service for lists has failed, the next one comes late",
